--- /dev/null
+++ b/Libraries/LibConfiguration/Configuration.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <LibConfiguration/Selector.h>
+#include <LibConfiguration/ServiceDeclaration.h>
+#include <LibConfiguration/UpstreamLabels.h>
+#include <LibCore/Digest.h>
+#include <LibCore/Result.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Fuchsiastep {
+
+/// Number of a configuration in the one sequence of accepted changes; 0 means none.
+using ConfigurationVersion = std::uint64_t;
+
+/// An object that operators declare.
+using DeclaredObject = std::variant<ServiceDeclaration, UpstreamLabels, Selector>;
+
+struct ConfigurationDelta;
+
+/// One whole configuration version. Immutable; versions share the objects and index parts that a change leaves alone,
+/// so that applying a delta costs time in proportion to the delta.
+class Configuration
+{
+public:
+    using Pointer = std::shared_ptr<const Configuration>;
+
+    /// Version 0, which has no objects.
+    static Pointer empty();
+
+    ConfigurationVersion version() const;
+    const Digest &digest() const;
+    std::size_t objectCount() const;
+
+    /// nullptr where there is no such object.
+    std::shared_ptr<const ServiceDeclaration> service(std::string_view name) const;
+    std::shared_ptr<const UpstreamLabels> upstreamLabels(std::string_view upstreamId) const;
+    std::shared_ptr<const Selector> selector(std::string_view name) const;
+    /// The selectors of one service, by name.
+    std::vector<std::shared_ptr<const Selector>> selectorsOf(std::string_view service) const;
+    /// The upstream labels of one service, by upstream id.
+    std::vector<std::shared_ptr<const UpstreamLabels>> upstreamLabelsOf(std::string_view service) const;
+    void forEachObject(const std::function<void(const DeclaredObject &)> &visit) const;
+
+    /// The configuration that \a delta leads to. All or nothing. Fails with BaseMismatch, DigestMismatch,
+    /// DanglingReference (a selector or upstream names a service that the result does not have) or ObjectMissing.
+    Result<Pointer> tryApply(const ConfigurationDelta &delta) const;
+
+    /// msgpack of every object, in canonical order.
+    std::string encode() const;
+    /// Fails with DeclarationMalformed, DigestMismatch or DanglingReference.
+    static Result<Pointer> tryDecode(std::string_view bytes, ConfigurationVersion version, const Digest &digest);
+
+    // The content is in Configuration.cpp.
+    struct Content;
+    explicit Configuration(std::shared_ptr<const Content> content);
+
+private:
+    std::shared_ptr<const Content> m_content;
+};
+
+} // namespace Fuchsiastep
--- a/Libraries/LibCore/Clock.cpp
+++ b/Libraries/LibCore/Clock.cpp
@@ -21,7 +21,7 @@
                           [](const SystemSource &) { return TimePoint(Duration(g_get_monotonic_time())); },
                           [](const ManualSource &source) { return source.current; },
                       },
-                      m_source);
+        m_source);
 }
 
 std::int64_t Clock::unixMilliseconds() const
@@ -32,7 +32,7 @@
                               return std::chrono::duration_cast<std::chrono::milliseconds>(source.current.time_since_epoch()).count();
                           },
                       },
-                      m_source);
+        m_source);
 }
 
 void Clock::advance(Duration step)
--- a/Libraries/LibCore/Clock.h
+++ b/Libraries/LibCore/Clock.h
@@ -39,18 +39,15 @@
 
 private:
     struct SystemSource
-    {
-    };
+    { };
     struct ManualSource
     {
         TimePoint current;
     };
     using Source = std::variant<SystemSource, ManualSource>;
 
-    explicit Clock(Source source)
-        : m_source(source)
-    {
-    }
+    explicit Clock(Source source) : m_source(source)
+    { }
 
     Source m_source;
 };
--- a/Libraries/LibCore/ErrorCode.cpp
+++ b/Libraries/LibCore/ErrorCode.cpp
@@ -25,7 +25,8 @@
     ErrorCodeInfo {ErrorCode::ProtocolViolation, "ProtocolViolation", 502, "A peer sent a frame that is not allowed in this state."},
     ErrorCodeInfo {ErrorCode::DatagramTooLong, "DatagramTooLong", 500, "A datagram is longer than the limit."},
     ErrorCodeInfo {ErrorCode::PlatformUnavailable, "PlatformUnavailable", 503, "The platform cannot be reached; the call had no effect."},
-    ErrorCodeInfo {ErrorCode::PlatformOutcomeUnknown, "PlatformOutcomeUnknown", 503, "The platform did not answer; the write may have taken effect."},
+    ErrorCodeInfo {
+        ErrorCode::PlatformOutcomeUnknown, "PlatformOutcomeUnknown", 503, "The platform did not answer; the write may have taken effect."},
     ErrorCodeInfo {ErrorCode::PlatformConflict, "PlatformConflict", 409, "A condition of the transaction does not hold."},
     ErrorCodeInfo {ErrorCode::PlatformMalformedAnswer, "PlatformMalformedAnswer", 502, "The platform's answer cannot be read."},
     ErrorCodeInfo {ErrorCode::PlatformObjectMissing, "PlatformObjectMissing", 404, "The object store has no such object."},
@@ -38,9 +39,9 @@
     ErrorCodeInfo {ErrorCode::DigestMismatch, "DigestMismatch", 409, "A configuration does not have the digest that was announced."},
     ErrorCodeInfo {ErrorCode::ChangeConflict, "ChangeConflict", 409, "Another operator changed the same object first."},
     ErrorCodeInfo {ErrorCode::ChangeOutcomeUnknown,
-                   "ChangeOutcomeUnknown",
-                   503,
-                   "It is not known whether the change was accepted; ask again with the same operation id."},
+        "ChangeOutcomeUnknown",
+        503,
+        "It is not known whether the change was accepted; ask again with the same operation id."},
     ErrorCodeInfo {ErrorCode::ConfigurationUnknown, "ConfigurationUnknown", 503, "The proxy does not hold a configuration yet."},
     ErrorCodeInfo {ErrorCode::ObjectMissing, "ObjectMissing", 404, "The configuration has no such object."},
     ErrorCodeInfo {ErrorCode::ChangeEmpty, "ChangeEmpty", 400, "The change contains nothing to do."},
@@ -59,11 +60,12 @@
     ErrorCodeInfo {ErrorCode::ClaimUnavailable, "ClaimUnavailable", 503, "The key cannot be claimed; the request was not run."},
     ErrorCodeInfo {ErrorCode::KeyRequired, "KeyRequired", 400, "A request that may not be repeated needs a key."},
     ErrorCodeInfo {ErrorCode::OutcomeUnknown, "OutcomeUnknown", 502, "It is not known whether the request ran."},
-    ErrorCodeInfo {ErrorCode::UpstreamCrashed, "UpstreamCrashed", 502, "The upstream failed while it ran the request; the outcome is unknown."},
+    ErrorCodeInfo {
+        ErrorCode::UpstreamCrashed, "UpstreamCrashed", 502, "The upstream failed while it ran the request; the outcome is unknown."},
     ErrorCodeInfo {ErrorCode::RequestHeldOff,
-                   "RequestHeldOff",
-                   503,
-                   "Requests like this one crashed upstreams and are held off; the request was not run."},
+        "RequestHeldOff",
+        503,
+        "Requests like this one crashed upstreams and are held off; the request was not run."},
     ErrorCodeInfo {ErrorCode::BodyTooLarge, "BodyTooLarge", 413, "The body is larger than the limit."},
     ErrorCodeInfo {ErrorCode::RequestMalformed, "RequestMalformed", 400, "The request is not valid; the detail names the part."},
     ErrorCodeInfo {ErrorCode::Cancelled, "Cancelled", 499, "The caller cancelled the request."},
@@ -85,9 +87,8 @@
 
 const ErrorCodeInfo &errorCodeInfo(ErrorCode code)
 {
-    const auto row = std::lower_bound(ErrorCodes.begin(), ErrorCodes.end(), code, [](const ErrorCodeInfo &info, ErrorCode wanted) {
-        return info.code < wanted;
-    });
+    const auto row = std::lower_bound(
+        ErrorCodes.begin(), ErrorCodes.end(), code, [](const ErrorCodeInfo &info, ErrorCode wanted) { return info.code < wanted; });
     if (row == ErrorCodes.end() || row->code != code) {
         return ErrorCodes.front();
     }
--- /dev/null
+++ b/Libraries/LibCore/LogEvent.cpp
@@ -0,0 +1,80 @@
+#include <LibCore/LogEvent.h>
+
+#include <algorithm>
+#include <array>
+
+namespace Fuchsiastep {
+
+static constexpr std::array LogEvents {
+    LogEventInfo {LogEvent::ProgramStarted, "ProgramStarted", LogLevel::Info, "A program started; fields give its version and addresses."},
+    LogEventInfo {LogEvent::ProgramStopped, "ProgramStopped", LogLevel::Info, "A program stops in an orderly way."},
+    LogEventInfo {LogEvent::SettingsRejected, "SettingsRejected", LogLevel::Error, "The settings are not valid; the path names the field."},
+    LogEventInfo {LogEvent::ListenerOpened, "ListenerOpened", LogLevel::Info, "A listening socket was opened."},
+    LogEventInfo {LogEvent::FreezeDetected,
+        "FreezeDetected",
+        LogLevel::Warning,
+        "The process did not run for longer than its timers allow; it checks the newest version before it takes new work."},
+    LogEventInfo {LogEvent::PeerConnected, "PeerConnected", LogLevel::Debug, "A connection to or from a peer was opened."},
+    LogEventInfo {LogEvent::PeerDisconnected, "PeerDisconnected", LogLevel::Debug, "A connection to or from a peer was closed."},
+    LogEventInfo {LogEvent::FrameRejected, "FrameRejected", LogLevel::Warning, "A frame is not valid; its connection was closed."},
+    LogEventInfo {LogEvent::DatagramRejected, "DatagramRejected", LogLevel::Warning, "A datagram is not valid and was dropped."},
+    LogEventInfo {LogEvent::PlatformCallFailed, "PlatformCallFailed", LogLevel::Warning, "A call to the platform failed."},
+    LogEventInfo {LogEvent::PlatformCallSlow, "PlatformCallSlow", LogLevel::Info, "A call to the platform took longer than a second."},
+    LogEventInfo {
+        LogEvent::PlatformFaultChanged, "PlatformFaultChanged", LogLevel::Info, "The platform stand-in was told to inject other faults."},
+    LogEventInfo {
+        LogEvent::ConfigurationAdopted, "ConfigurationAdopted", LogLevel::Info, "A configuration version came into force on this proxy."},
+    LogEventInfo {LogEvent::ConfigurationRejected, "ConfigurationRejected", LogLevel::Warning, "A delta or snapshot was not applied."},
+    LogEventInfo {LogEvent::SnapshotRequested, "SnapshotRequested", LogLevel::Info, "A configuration snapshot was requested from a peer."},
+    LogEventInfo {LogEvent::SnapshotServed, "SnapshotServed", LogLevel::Info, "A configuration snapshot was sent to a peer."},
+    LogEventInfo {LogEvent::ChangeAccepted, "ChangeAccepted", LogLevel::Info, "An operator's change was committed."},
+    LogEventInfo {LogEvent::ChangeRefused, "ChangeRefused", LogLevel::Warning, "An operator's change was not committed."},
+    LogEventInfo {LogEvent::ProxyReady, "ProxyReady", LogLevel::Info, "The proxy knows the newest version around it and serves."},
+    LogEventInfo {
+        LogEvent::SnapshotWritten, "SnapshotWritten", LogLevel::Info, "A configuration snapshot was written to the object store."},
+    LogEventInfo {LogEvent::MemberJoined, "MemberJoined", LogLevel::Info, "A member was seen for the first time."},
+    LogEventInfo {LogEvent::MemberSuspected, "MemberSuspected", LogLevel::Info, "A member did not answer direct and indirect probes."},
+    LogEventInfo {LogEvent::MemberRemoved, "MemberRemoved", LogLevel::Warning, "A suspected member did not refute and was removed."},
+    LogEventInfo {LogEvent::MemberLeft, "MemberLeft", LogLevel::Info, "A member announced that it leaves."},
+    LogEventInfo {LogEvent::IsolationSuspected,
+        "IsolationSuspected",
+        LogLevel::Warning,
+        "Most peers disappeared at once; this proxy treats itself as isolated and removes nobody."},
+    LogEventInfo {
+        LogEvent::ReaderRoleChanged, "ReaderRoleChanged", LogLevel::Info, "This proxy became or ceased to be a configuration reader."},
+    LogEventInfo {
+        LogEvent::RangeReassigned, "RangeReassigned", LogLevel::Info, "A delegate did not acknowledge; its range went to another member."},
+    LogEventInfo {LogEvent::RequestRefused, "RequestRefused", LogLevel::Debug, "A request was refused as not run."},
+    LogEventInfo {LogEvent::RequestUnknown, "RequestUnknown", LogLevel::Warning, "A request ended without knowledge of whether it ran."},
+    LogEventInfo {LogEvent::UpstreamAnnounced, "UpstreamAnnounced", LogLevel::Info, "The upstream of this instance announced itself."},
+    LogEventInfo {LogEvent::UpstreamLost, "UpstreamLost", LogLevel::Warning, "The upstream of this instance no longer announces itself."},
+    LogEventInfo {
+        LogEvent::UpstreamCrashed, "UpstreamCrashed", LogLevel::Warning, "The upstream broke its connections while it ran requests."},
+    LogEventInfo {LogEvent::UpstreamEjected, "UpstreamEjected", LogLevel::Info, "An upstream is left out of routing for a while."},
+    LogEventInfo {LogEvent::FingerprintBlamed,
+        "FingerprintBlamed",
+        LogLevel::Warning,
+        "A request crashed an upstream while it ran alone; its like are held off."},
+    LogEventInfo {LogEvent::DrainStarted, "DrainStarted", LogLevel::Info, "The proxy refuses new work and finishes what is in flight."},
+    LogEventInfo {LogEvent::DrainFinished, "DrainFinished", LogLevel::Info, "No request is in flight; the proxy may stop."},
+    LogEventInfo {
+        LogEvent::LateAnswerDropped, "LateAnswerDropped", LogLevel::Debug, "An answer arrived for a request that is no longer waiting."},
+    LogEventInfo {
+        LogEvent::ClaimSettled, "ClaimSettled", LogLevel::Info, "A claim whose insert was not answered was settled by reading its row."},
+    LogEventInfo {LogEvent::HttpRequestRejected, "HttpRequestRejected", LogLevel::Info, "An HTTP request is not valid or too large."},
+    LogEventInfo {LogEvent::OperatorRequestRejected, "OperatorRequestRejected", LogLevel::Info, "An operator request is not valid."},
+};
+
+std::span<const LogEventInfo> logEventTable()
+{
+    return LogEvents;
+}
+
+const LogEventInfo &logEventInfo(LogEvent event)
+{
+    const auto row = std::lower_bound(
+        LogEvents.begin(), LogEvents.end(), event, [](const LogEventInfo &info, LogEvent wanted) { return info.event < wanted; });
+    return row == LogEvents.end() ? LogEvents.back() : *row;
+}
+
+} // namespace Fuchsiastep
--- a/Libraries/LibCore/Random.h
+++ b/Libraries/LibCore/Random.h
@@ -12,10 +12,8 @@
 class Random
 {
 public:
-    explicit Random(std::uint64_t seed)
-        : m_engine(seed)
-    {
-    }
+    explicit Random(std::uint64_t seed) : m_engine(seed)
+    { }
     /// A generator seeded by the operating system.
     static Random fromSystem();
 
--- /dev/null
+++ b/Libraries/LibMembership/LibMembership.h
@@ -0,0 +1,5 @@
+#pragma once
+
+// The public header of LibMembership: live members, failure detection and distribution of configurations.
+
+#include <LibMembership/MemberRecord.h>
--- /dev/null
+++ b/Libraries/LibProxy/LibProxy.h
@@ -0,0 +1,3 @@
+#pragma once
+
+// The public header of LibProxy: the runtime of the proxy.
--- /dev/null
+++ b/Libraries/LibWire/FrameType.cpp
@@ -0,0 +1,27 @@
+#include <LibWire/FrameType.h>
+
+#include <array>
+
+namespace Fuchsiastep {
+
+static constexpr std::array FrameTypes {
+    FrameTypeInfo {FrameType::Hello, "Hello", 5},
+    FrameTypeInfo {FrameType::Request, "Request", 13},
+    FrameTypeInfo {FrameType::Answer, "Answer", 10},
+    FrameTypeInfo {FrameType::AnswerPart, "AnswerPart", 5},
+    FrameTypeInfo {FrameType::Cancel, "Cancel", 2},
+    FrameTypeInfo {FrameType::ConfigurationPush, "ConfigurationPush", 8},
+    FrameTypeInfo {FrameType::ConfigurationAck, "ConfigurationAck", 3},
+    FrameTypeInfo {FrameType::ConfigurationPull, "ConfigurationPull", 3},
+    FrameTypeInfo {FrameType::ConfigurationSnapshot, "ConfigurationSnapshot", 4},
+    FrameTypeInfo {FrameType::SnapshotDeferred, "SnapshotDeferred", 2},
+    FrameTypeInfo {FrameType::VersionNudge, "VersionNudge", 2},
+    FrameTypeInfo {FrameType::MembershipSync, "MembershipSync", 3},
+};
+
+std::span<const FrameTypeInfo> frameTypeTable()
+{
+    return FrameTypes;
+}
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibWire/LibWire.h
@@ -0,0 +1,11 @@
+#pragma once
+
+// The public header of LibWire: frames between proxies, their codec and the sockets that carry them.
+
+#include <LibWire/DatagramSocket.h>
+#include <LibWire/Frame.h>
+#include <LibWire/FrameBuffer.h>
+#include <LibWire/FrameCodec.h>
+#include <LibWire/FrameType.h>
+#include <LibWire/PeerConnection.h>
+#include <LibWire/PeerListener.h>
--- /dev/null
+++ b/Libraries/LibWire/LoadReport.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Fuchsiastep {
+
+/// Load of one upstream as the proxy beside it sees it.
+struct LoadReport
+{
+    std::uint32_t slots = 0;
+    std::uint32_t slotsInUse = 0;
+    std::uint32_t queued = 0;
+    /// Load that the upstream reports itself, in thousandths of its capacity.
+    std::uint32_t reportedPermille = 0;
+
+    bool operator==(const LoadReport &) const = default;
+};
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibWire/RequestFrame.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <LibWire/HeaderList.h>
+
+#include <cstdint>
+#include <string>
+
+namespace Fuchsiastep {
+
+/// A caller's request on its way to the proxy beside an upstream.
+struct RequestFrame
+{
+    /// Unique on this connection.
+    std::uint64_t requestId = 0;
+    std::string service;
+    /// The upstream that the caller side chose. A proxy beside another upstream refuses the request as not run.
+    std::string upstreamId;
+    std::string caller;
+    std::string method;
+    std::string path;
+    HeaderList headers;
+    /// Idempotency key; empty for a request without one.
+    std::string key;
+    /// The request may be run more than once.
+    bool isRepeatable = false;
+    std::uint32_t timeLeftMs = 0;
+    /// Run only while nothing else runs on the upstream, because requests like this one crashed upstreams.
+    bool isIsolated = false;
+    std::string body;
+
+    bool operator==(const RequestFrame &) const = default;
+};
+
+} // namespace Fuchsiastep
