--- /dev/null
+++ b/Libraries/LibProxy/CallParser.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <LibProxy/HttpServer.h>
+#include <LibWire/RequestOutcome.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace Fuchsiastep {
+
+/// A well-formed call from a caller: /v1/call/<service>/<path>.
+struct Call
+{
+    std::uint64_t token = 0;
+    std::string caller;
+    std::string service;
+    std::string method;
+    /// Path and query behind the service, beginning with '/'.
+    std::string path;
+    HeaderList headers;
+    std::string key;
+    std::optional<Duration> timeLeft;
+    std::string body;
+};
+
+/// The end of a call, as it is told to its caller.
+struct CallAnswer
+{
+    std::uint64_t token = 0;
+    RequestOutcome outcome = RequestOutcome::Unknown;
+    ErrorCode code = ErrorCode::None;
+    std::string detail;
+    std::uint16_t status = 0;
+    HeaderList headers;
+    std::string body;
+    std::uint32_t tries = 0;
+};
+
+/// Fails with RequestMalformed, CallerNotAllowed or BodyTooLarge.
+Result<Call> tryParseCall(HttpRequest request);
+
+/// The HTTP form of an answer: the upstream's own for an answered call, else a JSON body that names the code.
+HttpAnswer formatCallAnswer(const CallAnswer &answer);
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -0,0 +1,137 @@
+#include <LibProxy/HttpServer.h>
+
+#include <LibProxy/SoupSupport.h>
+
+namespace Fuchsiastep {
+
+/// Marks a message whose body was larger than the limit.
+static constexpr const char *TooLargeMark = "fuchsiastep-too-large";
+
+struct HttpServer::Exchange
+{
+    HttpServer *server = nullptr;
+    std::uint64_t token = 0;
+    SoupServerMessage *message = nullptr;
+    bool isAnswered = false;
+};
+
+HttpServer::HttpServer(std::uint64_t maximumBodyBytes, EventHandler onEvent)
+    : m_maximumBodyBytes(maximumBodyBytes)
+    , m_onEvent(std::move(onEvent))
+    , m_server(soup_server_new("server-header", "fuchsiastep", nullptr))
+{
+    soup_server_add_early_handler(m_server, nullptr, &HttpServer::handleHeaders, this, nullptr);
+    soup_server_add_handler(m_server, nullptr, &HttpServer::handleRequest, this, nullptr);
+}
+
+HttpServer::~HttpServer()
+{
+    for (auto &[token, exchange] : m_exchanges) {
+        g_signal_handlers_disconnect_by_data(exchange->message, exchange.get());
+        g_object_unref(exchange->message);
+    }
+    soup_server_disconnect(m_server);
+    g_object_unref(m_server);
+}
+
+Result<Done> HttpServer::tryListen(const SocketAddress &address)
+{
+    const Result<SocketAddress> listening = tryListenHttp(m_server, address);
+    if (isError(listening)) {
+        return errorOf(listening);
+    }
+    m_address = valueOf(listening);
+    return Done {};
+}
+
+SocketAddress HttpServer::address() const
+{
+    return m_address;
+}
+
+std::size_t HttpServer::requestsOpen() const
+{
+    return m_exchanges.size();
+}
+
+void HttpServer::handleHeaders(SoupServer *, SoupServerMessage *message, const char *, GHashTable *, gpointer data)
+{
+    // The body is counted while it arrives, so that neither a false length nor a chunked body fills the memory.
+    const auto onChunk = +[](SoupServerMessage *chunked, GBytes *, gpointer owner) {
+        SoupMessageBody *body = soup_server_message_get_request_body(chunked);
+        const std::uint64_t limit = static_cast<HttpServer *>(owner)->m_maximumBodyBytes;
+        if (static_cast<std::uint64_t>(body->length) > limit) {
+            soup_message_body_set_accumulate(body, FALSE);
+            g_object_set_data(G_OBJECT(chunked), TooLargeMark, chunked);
+        }
+    };
+    g_signal_connect(message, "got-chunk", G_CALLBACK(onChunk), data);
+}
+
+void HttpServer::handleRequest(SoupServer *, SoupServerMessage *message, const char *path, GHashTable *, gpointer data)
+{
+    static_cast<HttpServer *>(data)->receive(message, path);
+}
+
+void HttpServer::receive(SoupServerMessage *message, const char *path)
+{
+    HttpRequest request;
+    request.token = m_nextToken++;
+    request.method = soup_server_message_get_method(message);
+    request.path = path;
+    const char *query = g_uri_get_query(soup_server_message_get_uri(message));
+    request.query = query != nullptr ? query : "";
+    request.headers = readHeaders(soup_server_message_get_request_headers(message));
+    if (g_object_get_data(G_OBJECT(message), TooLargeMark) != nullptr) {
+        request.rejection = ErrorCode::BodyTooLarge;
+    } else {
+        request.body = requestBody(message);
+    }
+
+    auto exchange = std::make_unique<Exchange>();
+    exchange->server = this;
+    exchange->token = request.token;
+    exchange->message = SOUP_SERVER_MESSAGE(g_object_ref(message));
+    const auto onEnd = +[](SoupServerMessage *, gpointer ended) {
+        const auto *self = static_cast<Exchange *>(ended);
+        self->server->finish(self->token);
+    };
+    g_signal_connect(message, "finished", G_CALLBACK(onEnd), exchange.get());
+    g_signal_connect(message, "disconnected", G_CALLBACK(onEnd), exchange.get());
+    m_exchanges[request.token] = std::move(exchange);
+    soup_server_message_pause(message);
+    m_onEvent(std::move(request));
+}
+
+void HttpServer::answer(const HttpAnswer &answer)
+{
+    const auto found = m_exchanges.find(answer.token);
+    if (found == m_exchanges.end() || found->second->isAnswered) {
+        return;
+    }
+    found->second->isAnswered = true;
+    SoupServerMessage *message = found->second->message;
+    SoupMessageHeaders *headers = soup_server_message_get_response_headers(message);
+    writeHeaders(headers, answer.headers);
+    soup_server_message_set_status(message, answer.status, nullptr);
+    soup_message_body_append(soup_server_message_get_response_body(message), SOUP_MEMORY_COPY, answer.body.data(), answer.body.size());
+    soup_message_headers_set_content_length(headers, static_cast<goffset>(answer.body.size()));
+    soup_server_message_unpause(message);
+}
+
+void HttpServer::finish(std::uint64_t token)
+{
+    const auto found = m_exchanges.find(token);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    const std::unique_ptr<Exchange> exchange = std::move(found->second);
+    m_exchanges.erase(found);
+    g_signal_handlers_disconnect_by_data(exchange->message, exchange.get());
+    g_object_unref(exchange->message);
+    if (!exchange->isAnswered) {
+        m_onEvent(HttpRequestAbandoned {token});
+    }
+}
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibProxy/PeerLinks.cpp
@@ -0,0 +1,187 @@
+#include <LibProxy/PeerLinks.h>
+
+namespace Fuchsiastep {
+
+static constexpr Duration IdleTime = std::chrono::seconds(120); // Twice the longest timeout of a request.
+
+struct PeerLinks::Link
+{
+    std::uint64_t id = 0;
+    bool isOutgoing = false;
+    /// The peer's Hello arrived.
+    bool isEstablished = false;
+    std::string proxyId;
+    SocketAddress address;
+    TimePoint lastUsed;
+    std::unique_ptr<PeerConnection> connection;
+};
+
+static bool isControlFrame(const Frame &frame)
+{
+    return !std::holds_alternative<RequestFrame>(frame) && !std::holds_alternative<AnswerFrame>(frame)
+        && !std::holds_alternative<AnswerPartFrame>(frame) && !std::holds_alternative<CancelFrame>(frame);
+}
+
+PeerLinks::PeerLinks(HelloFrame self, const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent)
+    : m_self(std::move(self)), m_clock(clock), m_metrics(metrics), m_onEvent(std::move(onEvent))
+{ }
+
+PeerLinks::~PeerLinks() = default;
+
+Result<Done> PeerLinks::tryListen(const SocketAddress &address)
+{
+    Result<std::unique_ptr<PeerListener>> listener = PeerListener::tryListen(address, [this](GSocket *socket) { accept(socket); });
+    if (isError(listener)) {
+        return errorOf(listener);
+    }
+    m_listener = valueOf(std::move(listener));
+    return Done {};
+}
+
+SocketAddress PeerLinks::address() const
+{
+    return m_listener ? m_listener->address() : SocketAddress {};
+}
+
+PeerLinks::Link &PeerLinks::addLink(bool isOutgoing)
+{
+    const std::uint64_t id = m_nextConnectionId++;
+    auto link = std::make_unique<Link>();
+    link->id = id;
+    link->isOutgoing = isOutgoing;
+    link->lastUsed = m_clock.now();
+    return *(m_links[id] = std::move(link));
+}
+
+void PeerLinks::accept(GSocket *socket)
+{
+    Link &link = addLink(false);
+    const std::uint64_t id = link.id;
+    link.connection = PeerConnection::adopt(
+        socket,
+        [this, id](Frame frame) { handleFrame(id, std::move(frame)); },
+        [this, id](const Error &error) { handleClosed(id, error); });
+    link.connection->send(m_self);
+}
+
+std::uint64_t PeerLinks::sendTo(const std::string &proxyId, const SocketAddress &address, const Frame &frame)
+{
+    const auto known = m_outgoing.find(proxyId);
+    if (known != m_outgoing.end()) {
+        Link &link = *m_links.at(known->second);
+        if (link.address == address) {
+            send(link, frame);
+            return link.id;
+        }
+        // The peer was replaced at another address; what waits on the old connection is lost.
+        const std::uint64_t oldId = link.id;
+        handleClosed(oldId, {ErrorCode::ConnectionClosed, "the peer has another address"});
+    }
+    Link &link = addLink(true);
+    const std::uint64_t id = link.id;
+    link.proxyId = proxyId;
+    link.address = address;
+    link.connection = PeerConnection::connect(
+        address,
+        [this, id](Frame received) { handleFrame(id, std::move(received)); },
+        [this, id](const Error &error) { handleClosed(id, error); });
+    link.connection->send(m_self);
+    m_outgoing[proxyId] = id;
+    send(link, frame);
+    return id;
+}
+
+void PeerLinks::sendOn(std::uint64_t connectionId, const Frame &frame)
+{
+    const auto link = m_links.find(connectionId);
+    if (link != m_links.end()) {
+        send(*link->second, frame);
+    }
+}
+
+void PeerLinks::send(Link &link, const Frame &frame)
+{
+    link.lastUsed = m_clock.now();
+    const std::size_t before = link.connection->bytesQueued();
+    link.connection->send(frame);
+    if (isControlFrame(frame)) {
+        m_metrics.count("fuchsiastep_control_bytes_total", "path=\"tcp\"", link.connection->bytesQueued() - before);
+        m_metrics.count("fuchsiastep_control_messages_total", "path=\"tcp\"");
+    }
+}
+
+std::size_t PeerLinks::bytesQueuedOn(std::uint64_t connectionId) const
+{
+    const auto link = m_links.find(connectionId);
+    return link == m_links.end() ? 0 : link->second->connection->bytesQueued();
+}
+
+bool PeerLinks::hasQueuedBytes() const
+{
+    for (const auto &[id, link] : m_links) {
+        if (link->connection->bytesQueued() > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void PeerLinks::handleFrame(std::uint64_t connectionId, Frame frame)
+{
+    const auto found = m_links.find(connectionId);
+    if (found == m_links.end()) {
+        return;
+    }
+    Link &link = *found->second;
+    link.lastUsed = m_clock.now();
+    if (const auto *hello = std::get_if<HelloFrame>(&frame)) {
+        if (hello->protocol != HelloFrame::CurrentProtocol) {
+            handleClosed(connectionId, {ErrorCode::ProtocolViolation, "protocol " + std::to_string(hello->protocol)});
+            return;
+        }
+        link.isEstablished = true;
+        if (!link.isOutgoing) {
+            link.proxyId = hello->proxyId;
+        }
+        logEvent(LogEvent::PeerConnected, {{"peer", hello->proxyId}, {"connection", connectionId}});
+        return;
+    }
+    if (!link.isEstablished) {
+        handleClosed(connectionId, {ErrorCode::ProtocolViolation, "the first frame is not Hello"});
+        return;
+    }
+    m_onEvent(PeerFrameReceived {connectionId, link.proxyId, std::move(frame)});
+}
+
+void PeerLinks::handleClosed(std::uint64_t connectionId, const Error &error)
+{
+    const auto found = m_links.find(connectionId);
+    if (found == m_links.end()) {
+        return;
+    }
+    const std::unique_ptr<Link> link = std::move(found->second);
+    m_links.erase(found);
+    const auto outgoing = m_outgoing.find(link->proxyId);
+    if (outgoing != m_outgoing.end() && outgoing->second == connectionId) {
+        m_outgoing.erase(outgoing);
+    }
+    const bool isNormal = error.code == ErrorCode::ConnectionClosed || error.code == ErrorCode::ConnectionRefused;
+    logEvent(isNormal ? LogEvent::PeerDisconnected : LogEvent::FrameRejected,
+        {{"peer", link->proxyId}, {"connection", connectionId}, {"error", describe(error)}});
+    m_onEvent(PeerConnectionClosed {connectionId, link->proxyId, error.code == ErrorCode::ConnectionRefused, link->isOutgoing});
+}
+
+void PeerLinks::closeIdle()
+{
+    std::vector<std::uint64_t> idle;
+    for (const auto &[id, link] : m_links) {
+        if (link->isOutgoing && m_clock.now() - link->lastUsed > IdleTime) {
+            idle.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : idle) {
+        handleClosed(id, {ErrorCode::ConnectionClosed, "idle"});
+    }
+}
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibProxy/PeerLinks.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <LibCore/LibCore.h>
+#include <LibWire/LibWire.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace Fuchsiastep {
+
+/// A frame from a peer. Answers to it go back by \a connectionId.
+struct PeerFrameReceived
+{
+    std::uint64_t connectionId = 0;
+    std::string proxyId;
+    Frame frame;
+};
+
+/// A connection is gone.
+struct PeerConnectionClosed
+{
+    std::uint64_t connectionId = 0;
+    std::string proxyId;
+    /// TCP never connected, so that certainly nothing sent on it arrived.
+    bool neverConnected = false;
+    bool isOutgoing = false;
+};
+
+using PeerLinksEvent = std::variant<PeerFrameReceived, PeerConnectionClosed>;
+
+/// Owns the listener and every connection to other proxies. Opens one outgoing connection to a peer on demand,
+/// closes it after two minutes without use, and tells its owner of frames and losses.
+class PeerLinks
+{
+public:
+    using EventHandler = std::function<void(PeerLinksEvent event)>;
+
+    PeerLinks(HelloFrame self, const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent);
+    ~PeerLinks();
+
+    /// Fails with ListenFailed.
+    Result<Done> tryListen(const SocketAddress &address);
+    SocketAddress address() const;
+
+    /// Sends on the outgoing connection to \a proxyId, which is opened where needed. Returns its connection id.
+    std::uint64_t sendTo(const std::string &proxyId, const SocketAddress &address, const Frame &frame);
+    /// Sends on a connection that is open; drops the frame otherwise.
+    void sendOn(std::uint64_t connectionId, const Frame &frame);
+    /// Bytes that wait to be sent on the connection.
+    std::size_t bytesQueuedOn(std::uint64_t connectionId) const;
+    bool hasQueuedBytes() const;
+
+    /// Closes outgoing connections that were not used for two minutes. Called now and then by the owner.
+    void closeIdle();
+
+private:
+    struct Link;
+
+    void accept(GSocket *socket);
+    Link &addLink(bool isOutgoing);
+    void handleFrame(std::uint64_t connectionId, Frame frame);
+    void handleClosed(std::uint64_t connectionId, const Error &error);
+    void send(Link &link, const Frame &frame);
+
+    HelloFrame m_self;
+    const Clock &m_clock;
+    MetricsRegistry &m_metrics;
+    EventHandler m_onEvent;
+    std::unique_ptr<PeerListener> m_listener;
+    std::uint64_t m_nextConnectionId = 1;
+    std::map<std::uint64_t, std::unique_ptr<Link>> m_links;
+    std::map<std::string, std::uint64_t> m_outgoing;
+};
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibProxy/ProxySettings.cpp
@@ -0,0 +1,189 @@
+#include <LibProxy/ProxySettings.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace Fuchsiastep {
+
+namespace {
+
+constexpr std::int64_t MaximumWaitMs = 600'000;
+
+class SettingsParser
+{
+public:
+    explicit SettingsParser(std::vector<Error> &errors) : m_errors(errors)
+    { }
+
+    ProxySettings parse(const JsonValue &value)
+    {
+        ProxySettings settings;
+        JsonObjectReader reader(value, "$", m_errors);
+        settings.proxyId = name(reader, "proxy_id");
+        settings.dataCentre = name(reader, "data_centre");
+        settings.region = name(reader, "region");
+        parseListen(reader, settings.listen);
+        parsePlatform(reader, settings.platform);
+        parseSeeds(reader, settings.seeds);
+        parseDistribution(reader, settings.distribution);
+        parseMembership(reader, settings.membership);
+        parseLimits(reader, settings.limits);
+        const std::string level = reader.optionalString("log_level", "info");
+        if (!tryParseLogLevel(level, settings.logLevel)) {
+            report(reader.pathOf("log_level"), "must be debug, info, warning or error");
+        }
+        reader.finish();
+        return settings;
+    }
+
+private:
+    void report(const std::string &path, std::string_view text)
+    {
+        m_errors.push_back({ErrorCode::SettingsOutOfRange, path + ": " + std::string(text)});
+    }
+
+    std::string name(JsonObjectReader &reader, std::string_view key)
+    {
+        constexpr std::size_t MaximumNameBytes = 63;
+        std::string text = reader.requiredString(key);
+        if (text.size() > MaximumNameBytes || text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789.-") != std::string::npos) {
+            report(reader.pathOf(key), "must be at most 63 of a-z, 0-9, '.' and '-'");
+        }
+        return text;
+    }
+
+    SocketAddress address(const std::string &path, const std::string &text)
+    {
+        const Result<SocketAddress> parsed = SocketAddress::tryParse(text);
+        if (isError(parsed)) {
+            report(path, "must be IP:PORT");
+            return {};
+        }
+        return valueOf(parsed);
+    }
+
+    static Duration milliseconds(JsonObjectReader &reader, std::string_view key, Duration fallback, std::int64_t minimum)
+    {
+        const auto fallbackMs = std::chrono::duration_cast<std::chrono::milliseconds>(fallback).count();
+        return std::chrono::milliseconds(reader.optionalInteger(key, fallbackMs, minimum, MaximumWaitMs));
+    }
+
+    void parseListen(JsonObjectReader &parent, ListenSettings &listen)
+    {
+        const JsonValue *value = parent.requiredValue("listen");
+        if (value == nullptr) {
+            return;
+        }
+        JsonObjectReader reader(*value, parent.pathOf("listen"), m_errors);
+        listen.callers = address(reader.pathOf("callers"), reader.requiredString("callers"));
+        listen.control = address(reader.pathOf("control"), reader.requiredString("control"));
+        listen.peers = address(reader.pathOf("peers"), reader.requiredString("peers"));
+        reader.finish();
+    }
+
+    void parsePlatform(JsonObjectReader &parent, PlatformSettings &platform)
+    {
+        const JsonValue *value = parent.requiredValue("platform");
+        if (value == nullptr) {
+            return;
+        }
+        JsonObjectReader reader(*value, parent.pathOf("platform"), m_errors);
+        platform.url = reader.requiredString("url");
+        if (!platform.url.empty() && !platform.url.starts_with("http://") && !platform.url.starts_with("https://")) {
+            report(reader.pathOf("url"), "must begin with http:// or https://");
+        }
+        platform.timeout = milliseconds(reader, "timeout_ms", platform.timeout, 10);
+        reader.finish();
+    }
+
+    void parseSeeds(JsonObjectReader &parent, std::vector<SocketAddress> &seeds)
+    {
+        std::size_t index = 0;
+        for (const std::string &text : parent.optionalStrings("seeds")) {
+            seeds.push_back(address(parent.pathOf("seeds") + '[' + std::to_string(index++) + ']', text));
+        }
+    }
+
+    void parseDistribution(JsonObjectReader &parent, DistributionSettings &distribution)
+    {
+        const JsonValue *value = parent.optionalValue("distribution");
+        if (value == nullptr) {
+            return;
+        }
+        JsonObjectReader reader(*value, parent.pathOf("distribution"), m_errors);
+        distribution.batchWindow = milliseconds(reader, "batch_ms", distribution.batchWindow, 0);
+        distribution.readerPollInterval = milliseconds(reader, "reader_poll_ms", distribution.readerPollInterval, 10);
+        distribution.readersPerDataCentre =
+            static_cast<std::uint32_t>(reader.optionalInteger("readers", distribution.readersPerDataCentre, 1, 16));
+        distribution.fanOut = static_cast<std::uint32_t>(reader.optionalInteger("fan_out", distribution.fanOut, 2, 64));
+        reader.finish();
+    }
+
+    void parseMembership(JsonObjectReader &parent, MembershipSettings &membership)
+    {
+        const JsonValue *value = parent.optionalValue("membership");
+        if (value == nullptr) {
+            return;
+        }
+        JsonObjectReader reader(*value, parent.pathOf("membership"), m_errors);
+        membership.probeInterval = milliseconds(reader, "probe_ms", membership.probeInterval, 50);
+        membership.probeTimeout = milliseconds(reader, "probe_timeout_ms", membership.probeTimeout, 10);
+        if (membership.probeTimeout >= membership.probeInterval) {
+            report(reader.pathOf("probe_timeout_ms"), "must be below probe_ms");
+        }
+        reader.finish();
+    }
+
+    void parseLimits(JsonObjectReader &parent, LimitSettings &limits)
+    {
+        constexpr std::int64_t MaximumRequestBodyBytes = 1000 * 1024; // A request travels in one frame of 1 MiB with its headers.
+        constexpr std::int64_t MaximumAnswerBodyBytes = 256 * 1024 * 1024;
+        const JsonValue *value = parent.optionalValue("limits");
+        if (value == nullptr) {
+            return;
+        }
+        JsonObjectReader reader(*value, parent.pathOf("limits"), m_errors);
+        limits.requestBodyBytes = static_cast<std::uint64_t>(
+            reader.optionalInteger("request_body_bytes", static_cast<std::int64_t>(limits.requestBodyBytes), 0, MaximumRequestBodyBytes));
+        limits.answerBodyBytes = static_cast<std::uint64_t>(
+            reader.optionalInteger("answer_body_bytes", static_cast<std::int64_t>(limits.answerBodyBytes), 1024, MaximumAnswerBodyBytes));
+        limits.requestsInFlight =
+            static_cast<std::uint32_t>(reader.optionalInteger("requests_in_flight", limits.requestsInFlight, 1, 1'000'000));
+        limits.queuePerSlot = static_cast<std::uint32_t>(reader.optionalInteger("queue_per_slot", limits.queuePerSlot, 0, 1000));
+        limits.queueTime = milliseconds(reader, "queue_ms", limits.queueTime, 0);
+        limits.drainTime = milliseconds(reader, "drain_ms", limits.drainTime, 0);
+        reader.finish();
+    }
+
+    std::vector<Error> &m_errors;
+};
+
+} // namespace
+
+Result<ProxySettings> ProxySettings::tryParse(std::string_view text, std::vector<Error> &errors)
+{
+    const Result<JsonValue> value = JsonValue::tryParse(text);
+    if (isError(value)) {
+        errors.push_back({ErrorCode::SettingsMalformed, errorOf(value).detail});
+        return errors.front();
+    }
+    ProxySettings settings = SettingsParser(errors).parse(valueOf(value));
+    if (!errors.empty()) {
+        return errors.front();
+    }
+    return settings;
+}
+
+Result<ProxySettings> ProxySettings::tryLoad(const std::string &path, std::vector<Error> &errors)
+{
+    std::ifstream file(path);
+    std::stringstream content;
+    content << file.rdbuf();
+    if (!file) {
+        errors.push_back({ErrorCode::SettingsUnreadable, path});
+        return errors.front();
+    }
+    return tryParse(content.str(), errors);
+}
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibProxy/SoupSupport.cpp
@@ -0,0 +1,95 @@
+#include <LibProxy/SoupSupport.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace Fuchsiastep {
+
+Result<SocketAddress> tryListenHttp(SoupServer *server, const SocketAddress &address)
+{
+    GSocketAddress *wanted = g_inet_socket_address_new_from_string(address.ip.c_str(), address.port);
+    if (wanted == nullptr) {
+        return Error {ErrorCode::ListenFailed, address.toString() + ": not an IP address"};
+    }
+    GError *error = nullptr;
+    const bool isListening = soup_server_listen(server, wanted, static_cast<SoupServerListenOptions>(0), &error) != FALSE;
+    g_object_unref(wanted);
+    if (!isListening) {
+        Error failed {ErrorCode::ListenFailed, address.toString() + ": " + error->message};
+        g_error_free(error);
+        return failed;
+    }
+    SocketAddress result = address;
+    GSList *uris = soup_server_get_uris(server);
+    if (uris != nullptr) {
+        result.port = static_cast<std::uint16_t>(g_uri_get_port(static_cast<GUri *>(uris->data)));
+    }
+    g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(g_uri_unref));
+    return result;
+}
+
+static bool belongsToConnection(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 10> Names {"connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host"};
+    return std::find(Names.begin(), Names.end(), name) != Names.end();
+}
+
+HeaderList readHeaders(SoupMessageHeaders *headers)
+{
+    HeaderList fields;
+    SoupMessageHeadersIter iterator;
+    soup_message_headers_iter_init(&iterator, headers);
+    const char *name = nullptr;
+    const char *value = nullptr;
+    while (soup_message_headers_iter_next(&iterator, &name, &value)) {
+        std::string lower = name;
+        std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char character) { return std::tolower(character); });
+        if (belongsToConnection(lower)) {
+            continue;
+        }
+        std::string &field = fields[lower];
+        // Repeated fields are one field with a comma-separated list (RFC 9110, 5.3).
+        field += field.empty() ? value : std::string(", ") + value;
+    }
+    return fields;
+}
+
+void writeHeaders(SoupMessageHeaders *headers, const HeaderList &fields)
+{
+    for (const auto &[name, value] : fields) {
+        if (!belongsToConnection(name)) {
+            soup_message_headers_replace(headers, name.c_str(), value.c_str());
+        }
+    }
+}
+
+std::string requestBody(SoupServerMessage *message)
+{
+    GBytes *bytes = soup_message_body_flatten(soup_server_message_get_request_body(message));
+    gsize size = 0;
+    const auto *data = static_cast<const char *>(g_bytes_get_data(bytes, &size));
+    std::string body(data != nullptr ? data : "", size);
+    g_bytes_unref(bytes);
+    return body;
+}
+
+JsonValue::Object describeAsJson(const Error &error)
+{
+    return {
+        {"code", static_cast<std::int64_t>(error.code)},
+        {"name", errorCodeInfo(error.code).name},
+        {"detail", error.detail},
+    };
+}
+
+} // namespace Fuchsiastep
