Add the task that carries requests

Cause: the decision objects of both request sides need sockets and a loop. Change: RequestTask joins callers' HTTP, the coordinator, the gate, the claim ledger, the upstream client and the links between proxies; PeerLinks tells of established links and bounds what a peer may leave unread.

--- a/Libraries/LibProxy/PeerLinks.cpp
+++ b/Libraries/LibProxy/PeerLinks.cpp
@@ -2,6 +2,8 @@
 
 namespace Fuchsiastep {
 
+/// A peer that does not read must not fill the memory.
+static constexpr std::size_t MaximumQueuedBytes = 64 * 1024 * 1024;
 static constexpr Duration IdleTime = std::chrono::seconds(120); // Twice the longest timeout of a request.
 
 struct PeerLinks::Link
@@ -11,6 +13,7 @@
     /// The peer's Hello arrived.
     bool isEstablished = false;
     std::string proxyId;
+    std::uint64_t incarnation = 0;
     SocketAddress address;
     TimePoint lastUsed;
     std::unique_ptr<PeerConnection> connection;
@@ -91,6 +94,14 @@
     return id;
 }
 
+void PeerLinks::sendToOpen(const std::string &proxyId, const Frame &frame)
+{
+    const auto known = m_outgoing.find(proxyId);
+    if (known != m_outgoing.end()) {
+        send(*m_links.at(known->second), frame);
+    }
+}
+
 void PeerLinks::sendOn(std::uint64_t connectionId, const Frame &frame)
 {
     const auto link = m_links.find(connectionId);
@@ -103,6 +114,10 @@
 {
     link.lastUsed = m_clock.now();
     const std::size_t before = link.connection->bytesQueued();
+    if (before > MaximumQueuedBytes) {
+        handleClosed(link.id, {ErrorCode::ConnectionClosed, "the peer does not read"});
+        return;
+    }
     link.connection->send(frame);
     if (isControlFrame(frame)) {
         m_metrics.count("fuchsiastep_control_bytes_total", "path=\"tcp\"", link.connection->bytesQueued() - before);
@@ -140,17 +155,19 @@
             return;
         }
         link.isEstablished = true;
+        link.incarnation = hello->incarnation;
         if (!link.isOutgoing) {
             link.proxyId = hello->proxyId;
         }
         logEvent(LogEvent::PeerConnected, {{"peer", hello->proxyId}, {"connection", connectionId}});
+        m_onEvent(PeerLinkEstablished {connectionId, link.proxyId, link.incarnation, link.isOutgoing});
         return;
     }
     if (!link.isEstablished) {
         handleClosed(connectionId, {ErrorCode::ProtocolViolation, "the first frame is not Hello"});
         return;
     }
-    m_onEvent(PeerFrameReceived {connectionId, link.proxyId, std::move(frame)});
+    m_onEvent(PeerFrameReceived {connectionId, link.proxyId, link.incarnation, std::move(frame)});
 }
 
 void PeerLinks::handleClosed(std::uint64_t connectionId, const Error &error)
--- a/Libraries/LibProxy/PeerLinks.h
+++ b/Libraries/LibProxy/PeerLinks.h
@@ -12,11 +12,21 @@
 
 namespace Fuchsiastep {
 
+/// The peer's Hello arrived.
+struct PeerLinkEstablished
+{
+    std::uint64_t connectionId = 0;
+    std::string proxyId;
+    std::uint64_t incarnation = 0;
+    bool isOutgoing = false;
+};
+
 /// A frame from a peer. Answers to it go back by \a connectionId.
 struct PeerFrameReceived
 {
     std::uint64_t connectionId = 0;
     std::string proxyId;
+    std::uint64_t incarnation = 0;
     Frame frame;
 };
 
@@ -30,7 +40,7 @@
     bool isOutgoing = false;
 };
 
-using PeerLinksEvent = std::variant<PeerFrameReceived, PeerConnectionClosed>;
+using PeerLinksEvent = std::variant<PeerLinkEstablished, PeerFrameReceived, PeerConnectionClosed>;
 
 /// Owns the listener and every connection to other proxies. Opens one outgoing connection to a peer on demand,
 /// closes it after two minutes without use, and tells its owner of frames and losses.
@@ -48,6 +58,8 @@
 
     /// Sends on the outgoing connection to \a proxyId, which is opened where needed. Returns its connection id.
     std::uint64_t sendTo(const std::string &proxyId, const SocketAddress &address, const Frame &frame);
+    /// Sends on the outgoing connection to \a proxyId; drops the frame where there is none.
+    void sendToOpen(const std::string &proxyId, const Frame &frame);
     /// Sends on a connection that is open; drops the frame otherwise.
     void sendOn(std::uint64_t connectionId, const Frame &frame);
     /// Bytes that wait to be sent on the connection.
--- /dev/null
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -0,0 +1,443 @@
+#include <LibProxy/RequestTask.h>
+
+#include <LibProxy/SoupSupport.h>
+
+#include <algorithm>
+
+namespace Fuchsiastep {
+
+namespace {
+
+constexpr Duration DrainPollInterval = std::chrono::milliseconds(20);
+
+RoutingState::Settings routingSettings()
+{
+    return {};
+}
+
+RequestCoordinator::Settings coordinatorSettings(const LimitSettings &limits)
+{
+    RequestCoordinator::Settings settings;
+    settings.maximumInFlight = limits.requestsInFlight;
+    settings.maximumRequestBytes = limits.requestBodyBytes;
+    settings.maximumAnswerBytes = limits.answerBodyBytes;
+    return settings;
+}
+
+UpstreamGate::Settings gateSettings(const LimitSettings &limits)
+{
+    UpstreamGate::Settings settings;
+    settings.queuePlacesPerSlot = limits.queuePerSlot;
+    settings.maximumQueueTime = limits.queueTime;
+    return settings;
+}
+
+ClaimLedger::Settings ledgerSettings(const ProxySettings &settings, std::uint64_t incarnation)
+{
+    ClaimLedger::Settings ledger;
+    ledger.proxyId = settings.proxyId;
+    ledger.incarnation = incarnation;
+    return ledger;
+}
+
+UpstreamSelector::Settings selectorSettings(const ProxySettings &settings)
+{
+    UpstreamSelector::Settings selector;
+    selector.dataCentre = settings.dataCentre;
+    selector.region = settings.region;
+    return selector;
+}
+
+std::optional<TimePoint> earliest(std::initializer_list<std::optional<TimePoint>> deadlines)
+{
+    std::optional<TimePoint> first;
+    for (const std::optional<TimePoint> &deadline : deadlines) {
+        if (deadline && (!first || *deadline < *first)) {
+            first = deadline;
+        }
+    }
+    return first;
+}
+
+} // namespace
+
+struct RequestTask::CallInProgress
+{
+    TimePoint startedAt;
+    /// Empty for a service that is not declared, so that callers cannot add metric series at will.
+    std::string service;
+};
+
+RequestTask::RequestTask(const ProxySettings &settings,
+                         std::uint64_t incarnation,
+                         const Clock &clock,
+                         Random &random,
+                         MetricsRegistry &metrics,
+                         PeerLinks &links,
+                         PlatformClient &platform,
+                         EventHandler onEvent)
+    : m_settings(settings)
+    , m_clock(clock)
+    , m_metrics(metrics)
+    , m_links(links)
+    , m_platform(platform)
+    , m_onEvent(std::move(onEvent))
+    , m_routing(routingSettings(), clock, random)
+    , m_selector(selectorSettings(settings), m_routing, random)
+    , m_coordinator(coordinatorSettings(settings.limits), m_routing, m_selector, clock)
+    , m_gate(gateSettings(settings.limits), m_routing.suspects, clock)
+    , m_ledger(ledgerSettings(settings, incarnation), clock, random)
+    , m_upstreamClient(clock, settings.limits.answerBodyBytes, [this](UpstreamClientEvent event) { handleUpstream(std::move(event)); })
+    , m_callers(settings.limits.requestBodyBytes, [this](HttpServerEvent event) { handleCallers(std::move(event)); })
+    , m_timer(clock, [this] { runDue(); })
+    , m_mailbox([this](RequestTaskMessage message) {
+        std::visit([this](const auto &content) { handle(content); }, message);
+        finishTurn();
+    })
+{
+}
+
+RequestTask::~RequestTask() = default;
+
+Result<Done> RequestTask::tryListen(const SocketAddress &address)
+{
+    return m_callers.tryListen(address);
+}
+
+SocketAddress RequestTask::address() const
+{
+    return m_callers.address();
+}
+
+void RequestTask::post(RequestTaskMessage message)
+{
+    m_mailbox.post(std::move(message));
+}
+
+void RequestTask::handle(const ViewChanged &change)
+{
+    m_view = change.view;
+}
+
+void RequestTask::handle(const ReadinessChanged &change)
+{
+    m_isReady = change.isReady;
+    run(change.isReady ? m_gate.handle(FreezeRecovered {}) : m_gate.handle(FreezeNoticed {}));
+}
+
+void RequestTask::handle(const PeerLinkEstablished &established)
+{
+    if (established.isOutgoing) {
+        run(m_coordinator.handle(PeerConnected {established.proxyId, established.connectionId, established.incarnation}));
+    }
+}
+
+void RequestTask::handle(const PeerFrameReceived &received)
+{
+    std::visit(Overloaded {
+                   [&](const RequestFrame &frame) { run(m_gate.handle(PeerRequest {received.connectionId, frame})); },
+                   [&](const CancelFrame &frame) { run(m_gate.handle(PeerCancel {received.connectionId, frame.requestId})); },
+                   [&](const AnswerFrame &frame) {
+                       run(m_coordinator.handle(PeerAnswer {received.proxyId, received.connectionId, received.incarnation, frame}));
+                   },
+                   [&](const AnswerPartFrame &frame) {
+                       run(m_coordinator.handle(PeerAnswer {received.proxyId, received.connectionId, received.incarnation, frame}));
+                   },
+                   [](const auto &) {},
+               },
+               received.frame);
+}
+
+void RequestTask::handle(const PeerConnectionClosed &closed)
+{
+    if (!closed.isOutgoing) {
+        run(m_gate.handle(PeerDisconnected {closed.connectionId}));
+    } else if (closed.neverConnected) {
+        run(m_coordinator.handle(PeerConnectFailed {closed.proxyId}));
+    } else {
+        run(m_coordinator.handle(PeerConnectionLost {closed.proxyId}));
+    }
+}
+
+void RequestTask::handle(const UpstreamAnnouncement &announcement)
+{
+    const bool isRestarted = m_upstream && m_upstream->upstreamId == announcement.upstreamId && announcement.ageMs < m_upstream->ageMs;
+    if (isRestarted) {
+        run(m_gate.handle(UpstreamCrashed {}));
+    }
+    m_upstream = announcement;
+    m_upstreamClient.setUpstream(announcement.address, announcement.connections);
+    if (announcement.isDraining) {
+        run(m_gate.handle(UpstreamLost {}));
+        return;
+    }
+    run(m_gate.handle(UpstreamAnnounced {announcement.upstreamId,
+                                         announcement.service,
+                                         announcement.slots,
+                                         announcement.connections,
+                                         announcement.doRefusalsMeanNotRun}));
+    run(m_gate.handle(UpstreamLoadReported {announcement.loadPermille}));
+}
+
+void RequestTask::handle(const UpstreamSilent &)
+{
+    run(m_gate.handle(UpstreamLost {}));
+}
+
+void RequestTask::handle(const DrainStarted &)
+{
+    m_isDraining = true;
+    run(m_gate.handle(DrainRequested {}));
+}
+
+void RequestTask::handle(const SuspectLearned &learned)
+{
+    m_routing.suspects.merge({learned.entry});
+}
+
+void RequestTask::handle(const PlatformReply &reply)
+{
+    run(m_ledger.handle(reply));
+}
+
+void RequestTask::handle(const StatusWanted &wanted)
+{
+    const RequestCounts &counts = m_coordinator.counts();
+    JsonValue::Object requests {
+        {"received", counts.received},
+        {"answered", counts.answered},
+        {"not_run", counts.notRun},
+        {"unknown", counts.unknown},
+        {"tries", counts.tries},
+        {"retries", counts.retries},
+        {"in_flight", static_cast<std::uint64_t>(m_coordinator.inFlight())},
+    };
+    JsonValue::Object part {{"requests", std::move(requests)}, {"draining", m_isDraining}};
+    wanted.reply(std::move(part));
+}
+
+void RequestTask::handleCallers(HttpServerEvent event)
+{
+    std::visit(Overloaded {
+                   [this](HttpRequest &request) { startCall(std::move(request)); },
+                   [this](const HttpRequestAbandoned &abandoned) {
+                       if (m_calls.erase(abandoned.token) > 0) {
+                           m_metrics.count("fuchsiastep_calls_abandoned_total");
+                           run(m_coordinator.handle(CallerGone {abandoned.token}));
+                       }
+                   },
+               },
+               event);
+    finishTurn();
+}
+
+void RequestTask::startCall(HttpRequest request)
+{
+    const std::uint64_t token = request.token;
+    m_calls[token] = {m_clock.now(), {}};
+    Result<Call> parsed = tryParseCall(std::move(request));
+    if (isError(parsed)) {
+        logEvent(LogEvent::HttpRequestRejected, {{"error", describe(errorOf(parsed))}});
+        refuseCall(token, errorOf(parsed));
+        return;
+    }
+    Call call = valueOf(std::move(parsed));
+    if (m_isDraining || !m_isReady) {
+        refuseCall(token, {m_isDraining ? ErrorCode::Draining : ErrorCode::NotReady, m_settings.proxyId});
+        return;
+    }
+    const Result<std::shared_ptr<const Route>> route = m_view->tryResolve(call.caller, call.service, call.method, call.path);
+    if (isError(route)) {
+        refuseCall(token, errorOf(route));
+        return;
+    }
+    m_calls[token].service = call.service;
+    CallerRequest accepted;
+    accepted.token = token;
+    accepted.caller = std::move(call.caller);
+    accepted.service = std::move(call.service);
+    accepted.method = std::move(call.method);
+    accepted.path = std::move(call.path);
+    accepted.headers = std::move(call.headers);
+    accepted.key = std::move(call.key);
+    accepted.timeLeft = call.timeLeft;
+    accepted.body = std::move(call.body);
+    accepted.route = valueOf(route);
+    run(m_coordinator.handle(std::move(accepted)));
+}
+
+void RequestTask::refuseCall(std::uint64_t token, const Error &error)
+{
+    CallAnswer answer;
+    answer.token = token;
+    answer.outcome = RequestOutcome::NotRun;
+    answer.code = error.code;
+    answer.detail = error.detail;
+    finishCall(answer);
+}
+
+void RequestTask::finishCall(const CallAnswer &answer)
+{
+    const auto call = m_calls.find(answer.token);
+    if (call == m_calls.end()) {
+        return;
+    }
+    const std::string labels = "service=\"" + call->second.service + "\",outcome=\"" + std::string(nameOf(answer.outcome)) + '"';
+    m_metrics.count("fuchsiastep_requests_total", labels);
+    m_metrics.observe("fuchsiastep_request_seconds", m_clock.now() - call->second.startedAt);
+    if (answer.outcome == RequestOutcome::Unknown) {
+        logEvent(LogEvent::RequestUnknown,
+                 {{"service", call->second.service}, {"error", describe({answer.code, answer.detail})}, {"tries", answer.tries}});
+    } else if (answer.outcome == RequestOutcome::NotRun) {
+        logEvent(LogEvent::RequestRefused, {{"service", call->second.service}, {"error", describe({answer.code, answer.detail})}});
+    }
+    m_calls.erase(call);
+    m_callers.answer(formatCallAnswer(answer));
+}
+
+void RequestTask::handleUpstream(UpstreamClientEvent event)
+{
+    std::visit(Overloaded {
+                   [this](UpstreamAnswered &answered) {
+                       m_metrics.observe("fuchsiastep_upstream_seconds", answered.elapsed);
+                       run(m_gate.handle(UpstreamAnswer {answered.localId,
+                                                         answered.status,
+                                                         std::move(answered.headers),
+                                                         std::move(answered.body),
+                                                         answered.wasRefused}));
+                   },
+                   [this](const UpstreamRequestFailed &failed) {
+                       m_metrics.count("fuchsiastep_upstream_failures_total");
+                       run(m_gate.handle(UpstreamFailed {failed.localId, failed.mayHaveRun}));
+                       if (failed.isConnectionBroken) {
+                           confirmCrash();
+                       }
+                   },
+               },
+               event);
+    finishTurn();
+}
+
+void RequestTask::confirmCrash()
+{
+    // A broken connection alone does not prove a crash: an upstream may close a connection and live on.
+    if (m_isCrashCheckRunning) {
+        return;
+    }
+    m_isCrashCheckRunning = true;
+    m_upstreamClient.checkListening([this](bool isListening) {
+        m_isCrashCheckRunning = false;
+        if (!isListening) {
+            logEvent(LogEvent::UpstreamCrashed, {{"upstream", m_upstream ? m_upstream->upstreamId : std::string()}});
+            m_metrics.count("fuchsiastep_upstream_crashes_total");
+            run(m_gate.handle(UpstreamCrashed {}));
+            run(m_gate.handle(UpstreamLost {}));
+        }
+        finishTurn();
+    });
+}
+
+void RequestTask::run(std::vector<CoordinatorOutput> outputs)
+{
+    for (CoordinatorOutput &output : outputs) {
+        std::visit(Overloaded {
+                       [this](const SendRequest &send) { m_links.sendTo(send.proxyId, send.address, send.frame); },
+                       [this](const SendCancel &cancel) { m_links.sendToOpen(cancel.proxyId, cancel.frame); },
+                       [this](CallerAnswer &end) {
+                           finishCall({end.token,
+                                       end.outcome,
+                                       end.code,
+                                       std::move(end.detail),
+                                       end.status,
+                                       std::move(end.headers),
+                                       std::move(end.body),
+                                       end.tries});
+                       },
+                   },
+                   output);
+    }
+}
+
+void RequestTask::run(std::vector<GateOutput> outputs)
+{
+    for (GateOutput &output : outputs) {
+        std::visit(Overloaded {
+                       [this](const StartUpstreamRequest &start) {
+                           m_upstreamClient.start(start.localId, start.frame, std::chrono::milliseconds(start.frame.timeLeftMs));
+                       },
+                       [this](const AbortUpstreamRequest &abort) { m_upstreamClient.abort(abort.localId); },
+                       [this](const SendAnswer &answer) {
+                           m_links.sendOn(answer.connectionId, answer.frame);
+                           for (const AnswerPartFrame &part : answer.parts) {
+                               m_links.sendOn(answer.connectionId, part);
+                           }
+                       },
+                       [this](const ClaimWanted &wanted) { run(m_ledger.handle(wanted)); },
+                       [this](const ClaimFinished &finished) { run(m_ledger.handle(finished)); },
+                       [this](const ClaimAbandoned &abandoned) { run(m_ledger.handle(abandoned)); },
+                       [this](const DrainFinished &) { m_isGateDrained = true; },
+                       [](const CrashReport &report) {
+                           logEvent(LogEvent::UpstreamCrashed,
+                                    {{"upstream", report.upstreamId}, {"in_flight", report.fingerprints.size()}, {"alone", report.wasAlone}});
+                       },
+                   },
+                   output);
+    }
+}
+
+void RequestTask::run(std::vector<ClaimOutput> outputs)
+{
+    for (ClaimOutput &output : outputs) {
+        std::visit(Overloaded {
+                       [this](PlatformCall &call) {
+                           const CallId id = call.id;
+                           m_platform.send(std::move(call.request),
+                                           [this, id](PlatformResponse response) { post(PlatformReply {id, std::move(response)}); });
+                       },
+                       [this](const ClaimSettled &settled) { run(m_gate.handle(settled)); },
+                   },
+                   output);
+    }
+}
+
+void RequestTask::runDue()
+{
+    run(m_coordinator.advance());
+    run(m_gate.advance());
+    run(m_ledger.advance());
+    finishTurn();
+}
+
+void RequestTask::finishTurn()
+{
+    constexpr std::size_t MaximumSuspectsPerTurn = 32;
+    std::vector<CrashSuspectEntry> suspects = m_routing.suspects.takeChanges(MaximumSuspectsPerTurn);
+    if (!suspects.empty()) {
+        m_onEvent(SuspectsChanged {std::move(suspects)});
+    }
+    updateGauges();
+    std::optional<TimePoint> next = earliest({m_coordinator.nextDeadline(), m_gate.nextDeadline(), m_ledger.nextDeadline()});
+    if (m_isDraining && !m_isDrainReported) {
+        const bool isIdle =
+            m_isGateDrained && m_ledger.isIdle() && m_coordinator.inFlight() == 0 && m_callers.requestsOpen() == 0 && !m_links.hasQueuedBytes();
+        if (isIdle) {
+            m_isDrainReported = true;
+            m_onEvent(RequestsDrained {});
+        } else {
+            // Sockets do not tell when they have taken the last byte, so that is looked up until it is so.
+            next = earliest({next, m_clock.now() + DrainPollInterval});
+        }
+    }
+    m_timer.setDeadline(next);
+}
+
+void RequestTask::updateGauges()
+{
+    const RequestCounts &counts = m_coordinator.counts();
+    m_metrics.setGauge("fuchsiastep_requests_in_flight", static_cast<double>(m_calls.size()));
+    m_metrics.setGauge("fuchsiastep_upstream_slots_in_use", m_gate.running());
+    m_metrics.setGauge("fuchsiastep_upstream_waiting", static_cast<double>(m_gate.waiting()));
+    m_metrics.setGauge("fuchsiastep_retries", static_cast<double>(counts.retries));
+}
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibProxy/RequestTask.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <LibConfiguration/View.h>
+#include <LibMembership/CrashSuspectEntry.h>
+#include <LibPlatform/LibPlatform.h>
+#include <LibProxy/CallParser.h>
+#include <LibProxy/HttpServer.h>
+#include <LibProxy/Mailbox.h>
+#include <LibProxy/PeerLinks.h>
+#include <LibProxy/ProxySettings.h>
+#include <LibProxy/StatusWanted.h>
+#include <LibProxy/Timer.h>
+#include <LibProxy/UpstreamAnnouncement.h>
+#include <LibProxy/UpstreamClient.h>
+#include <LibRequest/LibRequest.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+
+namespace Fuchsiastep {
+
+/// Another view is in force; later requests use it.
+struct ViewChanged
+{
+    View::Pointer view;
+};
+
+/// The proxy knows the newest configuration around it, or no longer does.
+struct ReadinessChanged
+{
+    bool isReady = false;
+};
+
+/// The upstream no longer announces itself.
+struct UpstreamSilent
+{
+};
+
+/// Refuse new work and finish what runs.
+struct DrainStarted
+{
+};
+
+/// Another member knows more about a request that crashes upstreams.
+struct SuspectLearned
+{
+    CrashSuspectEntry entry;
+};
+
+using RequestTaskMessage = std::variant<ViewChanged,
+                                        ReadinessChanged,
+                                        PeerLinkEstablished,
+                                        PeerFrameReceived,
+                                        PeerConnectionClosed,
+                                        UpstreamAnnouncement,
+                                        UpstreamSilent,
+                                        DrainStarted,
+                                        SuspectLearned,
+                                        PlatformReply,
+                                        StatusWanted>;
+
+/// Nothing is in flight after DrainStarted.
+struct RequestsDrained
+{
+};
+
+/// The upstream crashed with these requests in flight; for the other members.
+struct SuspectsChanged
+{
+    std::vector<CrashSuspectEntry> entries;
+};
+
+using RequestTaskEvent = std::variant<RequestsDrained, SuspectsChanged>;
+
+/// Carries requests: it owns the callers' HTTP server, the client of the upstream beside the proxy, and the decision
+/// objects of both sides. Requests between proxies go through PeerLinks.
+class RequestTask
+{
+public:
+    using EventHandler = std::function<void(RequestTaskEvent event)>;
+
+    RequestTask(const ProxySettings &settings,
+                std::uint64_t incarnation,
+                const Clock &clock,
+                Random &random,
+                MetricsRegistry &metrics,
+                PeerLinks &links,
+                PlatformClient &platform,
+                EventHandler onEvent);
+    ~RequestTask();
+
+    /// Opens the callers' listener. Fails with ListenFailed.
+    Result<Done> tryListen(const SocketAddress &address);
+    SocketAddress address() const;
+
+    void post(RequestTaskMessage message);
+
+private:
+    struct CallInProgress;
+
+    void handle(const ViewChanged &change);
+    void handle(const ReadinessChanged &change);
+    void handle(const PeerLinkEstablished &established);
+    void handle(const PeerFrameReceived &received);
+    void handle(const PeerConnectionClosed &closed);
+    void handle(const UpstreamAnnouncement &announcement);
+    void handle(const UpstreamSilent &silent);
+    void handle(const DrainStarted &drain);
+    void handle(const SuspectLearned &learned);
+    void handle(const PlatformReply &reply);
+    void handle(const StatusWanted &wanted);
+
+    void handleCallers(HttpServerEvent event);
+    void startCall(HttpRequest request);
+    void refuseCall(std::uint64_t token, const Error &error);
+    void finishCall(const CallAnswer &answer);
+    void handleUpstream(UpstreamClientEvent event);
+    void confirmCrash();
+
+    void run(std::vector<CoordinatorOutput> outputs);
+    void run(std::vector<GateOutput> outputs);
+    void run(std::vector<ClaimOutput> outputs);
+    void runDue();
+    void finishTurn();
+    void updateGauges();
+
+    const ProxySettings &m_settings;
+    const Clock &m_clock;
+    MetricsRegistry &m_metrics;
+    PeerLinks &m_links;
+    PlatformClient &m_platform;
+    EventHandler m_onEvent;
+
+    View::Pointer m_view = View::empty();
+    bool m_isReady = false;
+    bool m_isDraining = false;
+    bool m_isDrainReported = false;
+    std::optional<UpstreamAnnouncement> m_upstream;
+    bool m_isCrashCheckRunning = false;
+
+    RoutingState m_routing;
+    UpstreamSelector m_selector;
+    RequestCoordinator m_coordinator;
+    UpstreamGate m_gate;
+    ClaimLedger m_ledger;
+    bool m_isGateDrained = false;
+
+    UpstreamClient m_upstreamClient;
+    HttpServer m_callers;
+    std::unordered_map<std::uint64_t, CallInProgress> m_calls;
+    Timer m_timer;
+    Mailbox<RequestTaskMessage> m_mailbox;
+};
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibProxy/UpstreamAnnouncement.cpp
@@ -0,0 +1,40 @@
+#include <LibProxy/UpstreamAnnouncement.h>
+
+#include <limits>
+
+namespace Fuchsiastep {
+
+Result<UpstreamAnnouncement> UpstreamAnnouncement::tryParse(std::string_view text)
+{
+    constexpr std::int64_t MaximumSlots = 10'000;
+    constexpr std::int64_t MaximumConnections = 100'000;
+    constexpr std::int64_t MaximumLoadPermille = 1'000'000;
+    const Result<JsonValue> value = JsonValue::tryParse(text);
+    if (isError(value)) {
+        return Error {ErrorCode::OperatorRequestMalformed, errorOf(value).detail};
+    }
+    std::vector<Error> errors;
+    JsonObjectReader reader(valueOf(value), "$", errors);
+    UpstreamAnnouncement announcement;
+    announcement.upstreamId = reader.requiredString("upstream");
+    announcement.service = reader.requiredString("service");
+    const Result<SocketAddress> address = SocketAddress::tryParse(reader.requiredString("address"));
+    announcement.slots = static_cast<std::uint32_t>(reader.optionalInteger("slots", 1, 1, MaximumSlots));
+    announcement.connections = static_cast<std::uint32_t>(reader.optionalInteger("connections", 130, 1, MaximumConnections));
+    announcement.labels = reader.optionalLabels("labels");
+    announcement.doRefusalsMeanNotRun = reader.optionalBool("refusals_mean_not_run", false);
+    announcement.ageMs = static_cast<std::uint32_t>(reader.optionalInteger("age_ms", 0, 0, std::numeric_limits<std::uint32_t>::max()));
+    announcement.loadPermille = static_cast<std::uint32_t>(reader.optionalInteger("load_permille", 0, 0, MaximumLoadPermille));
+    announcement.isDraining = reader.optionalBool("draining", false);
+    reader.finish();
+    if (errors.empty() && isError(address)) {
+        errors.push_back({ErrorCode::OperatorRequestMalformed, "$.address: must be IP:PORT"});
+    }
+    if (!errors.empty()) {
+        return Error {ErrorCode::OperatorRequestMalformed, errors.front().detail};
+    }
+    announcement.address = valueOf(address);
+    return announcement;
+}
+
+} // namespace Fuchsiastep
--- a/Libraries/LibProxy/UpstreamClient.cpp
+++ b/Libraries/LibProxy/UpstreamClient.cpp
@@ -107,13 +107,28 @@
 void UpstreamClient::abort(std::uint64_t localId)
 {
     const auto found = m_exchanges.find(localId);
-    if (found == m_exchanges.end()) {
-        return;
+    if (found != m_exchanges.end()) {
+        g_cancellable_cancel(found->second->cancellable);
     }
-    Exchange *exchange = found->second.release();
-    m_exchanges.erase(found);
-    exchange->client = nullptr;
-    g_cancellable_cancel(exchange->cancellable);
+}
+
+void UpstreamClient::checkListening(std::function<void(bool isListening)> onResult)
+{
+    GSocketClient *client = g_socket_client_new();
+    constexpr guint TimeoutSeconds = 1;
+    g_socket_client_set_timeout(client, TimeoutSeconds);
+    auto *callback = new std::function<void(bool)>(std::move(onResult));
+    const GAsyncReadyCallback onConnected = [](GObject *source, GAsyncResult *result, gpointer data) {
+        const std::unique_ptr<std::function<void(bool)>> handler(static_cast<std::function<void(bool)> *>(data));
+        GError *error = nullptr;
+        GSocketConnection *connection = g_socket_client_connect_to_host_finish(G_SOCKET_CLIENT(source), result, &error);
+        const bool isRefused = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
+        g_clear_error(&error);
+        g_clear_object(&connection);
+        (*handler)(!isRefused);
+    };
+    g_socket_client_connect_to_host_async(client, m_address.ip.c_str(), m_address.port, nullptr, onConnected, callback);
+    g_object_unref(client);
 }
 
 static bool isBrokenConnection(const GError *error)
--- a/Libraries/LibProxy/UpstreamClient.h
+++ b/Libraries/LibProxy/UpstreamClient.h
@@ -55,9 +55,12 @@
     void setUpstream(const SocketAddress &address, std::uint32_t connections);
 
     void start(std::uint64_t localId, const RequestFrame &request, Duration timeLeft);
-    /// Breaks off a request; no event follows.
+    /// Breaks off a request; its end is still told, as UpstreamRequestFailed.
     void abort(std::uint64_t localId);
 
+    /// Opens a connection and tells whether the upstream still listens. An upstream that refuses connections is gone.
+    void checkListening(std::function<void(bool isListening)> onResult);
+
 private:
     struct Exchange;
 
