Add LibRouting and the interfaces of LibRequest

Callers of both libraries are written in parallel and need the messages first. LibRouting holds load estimates, ejections, the cold start ramp, the retry budget, crash suspects and the upstream selector. Builds; not tested yet.

--- /dev/null
+++ b/Libraries/LibRequest/CoordinatorInput.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <LibConfiguration/Route.h>
+#include <LibCore/LibCore.h>
+#include <LibWire/AnswerFrame.h>
+#include <LibWire/AnswerPartFrame.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace Fuchsiastep {
+
+/// Names a caller's request within the proxy. Never used twice.
+using CallerToken = std::uint64_t;
+
+/// A caller wants a request run. The route comes from the view that the request keeps.
+struct CallerRequest
+{
+    CallerToken token = 0;
+    std::string caller;
+    std::string service;
+    std::string method;
+    std::string path;
+    HeaderList headers;
+    /// Idempotency key; empty for none.
+    std::string key;
+    /// The caller's own deadline; the timeout of the route caps it.
+    std::optional<Duration> timeLeft;
+    std::string body;
+    std::shared_ptr<const Route> route;
+};
+
+/// The caller disconnected. It gets no answer.
+struct CallerGone
+{
+    CallerToken token = 0;
+};
+
+/// A connection to the proxy beside an upstream is open and its Hello has arrived.
+struct PeerConnected
+{
+    std::string proxyId;
+    std::uint64_t connectionId = 0;
+    std::uint64_t incarnation = 0;
+};
+
+/// A frame from the proxy beside an upstream.
+struct PeerAnswer
+{
+    std::string proxyId;
+    std::uint64_t connectionId = 0;
+    std::uint64_t incarnation = 0;
+    std::variant<AnswerFrame, AnswerPartFrame> frame;
+};
+
+/// The connection that carried requests to this proxy closed. What was sent may or may not have arrived.
+struct PeerConnectionLost
+{
+    std::string proxyId;
+};
+
+/// The connection could not be opened, so nothing that waited for it was sent.
+struct PeerConnectFailed
+{
+    std::string proxyId;
+};
+
+using CoordinatorInput = std::variant<CallerRequest, CallerGone, PeerConnected, PeerAnswer, PeerConnectionLost, PeerConnectFailed>;
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibRequest/CoordinatorOutput.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <LibCore/LibCore.h>
+#include <LibRequest/CoordinatorInput.h>
+#include <LibWire/CancelFrame.h>
+#include <LibWire/RequestFrame.h>
+#include <LibWire/RequestOutcome.h>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace Fuchsiastep {
+
+/// Send on the connection to this proxy; open one where there is none.
+struct SendRequest
+{
+    std::string proxyId;
+    SocketAddress address;
+    RequestFrame frame;
+};
+
+struct SendCancel
+{
+    std::string proxyId;
+    CancelFrame frame;
+};
+
+/// The end of a caller's request, exactly once for each token whose caller stayed.
+struct CallerAnswer
+{
+    CallerToken token = 0;
+    RequestOutcome outcome = RequestOutcome::Unknown;
+    ErrorCode code = ErrorCode::None;
+    std::uint16_t status = 0;
+    HeaderList headers;
+    std::string body;
+    std::string detail;
+    /// Request frames that were sent for it.
+    std::uint32_t tries = 0;
+};
+
+using CoordinatorOutput = std::variant<SendRequest, SendCancel, CallerAnswer>;
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibRequest/GateInput.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <LibRequest/ClaimMessages.h>
+#include <LibWire/RequestFrame.h>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace Fuchsiastep {
+
+/// The upstream beside this proxy announced itself, or announced new limits.
+struct UpstreamAnnounced
+{
+    std::string upstreamId;
+    std::string service;
+    /// Requests that it runs at once.
+    std::uint32_t slots = 1;
+    /// Connections that it takes.
+    std::uint32_t connections = 1;
+    /// A refusal by the upstream means that the request did not run.
+    bool doRefusalsMeanNotRun = false;
+};
+
+/// The upstream stopped announcing itself. Runs in progress continue.
+struct UpstreamLost
+{ };
+
+/// Load that the upstream reports itself, in thousandths of its capacity.
+struct UpstreamLoadReported
+{
+    std::uint32_t permille = 0;
+};
+
+/// A request from a caller side proxy.
+struct PeerRequest
+{
+    std::uint64_t connectionId = 0;
+    RequestFrame frame;
+};
+
+struct PeerCancel
+{
+    std::uint64_t connectionId = 0;
+    std::uint64_t requestId = 0;
+};
+
+/// The connection from a caller side proxy closed: its requests are cancelled.
+struct PeerDisconnected
+{
+    std::uint64_t connectionId = 0;
+};
+
+/// The upstream's whole answer.
+struct UpstreamAnswer
+{
+    LocalId localId = 0;
+    std::uint16_t status = 0;
+    HeaderList headers;
+    std::string body;
+    /// The upstream says that it refused the request before running it.
+    bool isRefusedBeforeRun = false;
+};
+
+/// There is no answer. Also the end of every aborted request, which holds its slot until then.
+struct UpstreamFailed
+{
+    LocalId localId = 0;
+    /// Any byte of the request may have reached the upstream.
+    bool isAnyByteSent = true;
+};
+
+/// The upstream process is gone, with everything that it ran. Comes before or instead of UpstreamFailed.
+struct UpstreamCrashed
+{ };
+
+/// Take no new work, finish the rest and say when it is done.
+struct DrainRequested
+{ };
+
+/// The process was paused: new work is refused until FreezeRecovered.
+struct FreezeNoticed
+{ };
+
+/// The newest configuration is known again.
+struct FreezeRecovered
+{ };
+
+using GateInput = std::variant<UpstreamAnnounced,
+    UpstreamLost,
+    UpstreamLoadReported,
+    PeerRequest,
+    PeerCancel,
+    PeerDisconnected,
+    UpstreamAnswer,
+    UpstreamFailed,
+    UpstreamCrashed,
+    DrainRequested,
+    ClaimSettled,
+    FreezeNoticed,
+    FreezeRecovered>;
+
+} // namespace Fuchsiastep
--- a/Libraries/LibRequest/LibRequest.h
+++ b/Libraries/LibRequest/LibRequest.h
@@ -1,3 +1,16 @@
 #pragma once
 
 // The public header of LibRequest: the life of a request on the caller side and on the upstream side.
+
+#include <LibRequest/AnswerAssembly.h>
+#include <LibRequest/ClaimLedger.h>
+#include <LibRequest/ClaimMessages.h>
+#include <LibRequest/ClaimRecord.h>
+#include <LibRequest/CoordinatorInput.h>
+#include <LibRequest/CoordinatorOutput.h>
+#include <LibRequest/GateInput.h>
+#include <LibRequest/GateOutput.h>
+#include <LibRequest/PriorityHeader.h>
+#include <LibRequest/RequestCoordinator.h>
+#include <LibRequest/RequestCounts.h>
+#include <LibRequest/UpstreamGate.h>
--- /dev/null
+++ b/Libraries/LibRequest/RequestCoordinator.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <LibRequest/AnswerAssembly.h>
+#include <LibRequest/CoordinatorInput.h>
+#include <LibRequest/CoordinatorOutput.h>
+#include <LibRequest/RequestCounts.h>
+#include <LibRouting/LibRouting.h>
+
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Fuchsiastep {
+
+/// The caller side of every request: chooses upstreams, retries what may be retried and ends each request in
+/// exactly one outcome.
+class RequestCoordinator
+{
+public:
+    struct Settings
+    {
+        std::size_t maximumInFlight = 10000;
+        /// Request bodies and answers that are kept at once, in bytes.
+        std::uint64_t maximumBufferedBytes = 64ULL * 1024 * 1024;
+        /// A request travels in one frame of at most 1 MiB together with its headers.
+        std::size_t maximumRequestBytes = 768ULL * 1024;
+        std::uint64_t maximumAnswerBytes = 16ULL * 1024 * 1024;
+        /// The upstream side gets this much less time, so that its word on a queued request arrives in time.
+        Duration answerMargin = std::chrono::milliseconds(5);
+    };
+
+    RequestCoordinator(Settings settings, RoutingState &routing, UpstreamSelector &selector, const Clock &clock);
+
+    std::vector<CoordinatorOutput> handle(const CoordinatorInput &input);
+    /// Ends requests whose deadline has passed.
+    std::vector<CoordinatorOutput> advance();
+    std::optional<TimePoint> nextDeadline() const;
+
+    const RequestCounts &counts() const;
+    std::size_t inFlight() const;
+    std::uint64_t bufferedBytes() const;
+
+private:
+    /// One request frame on its way.
+    struct Try
+    {
+        std::uint64_t requestId = 0;
+        std::shared_ptr<const Endpoint> endpoint;
+        bool isIsolated = false;
+        AnswerAssembly assembly;
+        /// Connection of the first frame of the answer; the rest must come on the same one.
+        std::optional<std::pair<std::uint64_t, std::uint64_t>> connection;
+    };
+    struct Pending
+    {
+        CallerRequest request;
+        TimePoint deadline;
+        bool isRepeatable = false;
+        /// A try ended without certainty, so that "not run" can no longer be told.
+        bool mayHaveRun = false;
+        std::vector<std::string> triedUpstreamIds;
+        ErrorCode lastCode = ErrorCode::None;
+        std::string lastDetail;
+        std::optional<std::uint64_t> fingerprint;
+        std::optional<Try> current;
+    };
+
+    void apply(const CallerRequest &request);
+    void apply(const CallerGone &gone);
+    void apply(const PeerConnected &connected);
+    void apply(const PeerAnswer &answer);
+    void apply(const PeerConnectionLost &lost);
+    void apply(const PeerConnectFailed &failed);
+
+    std::optional<Error> refusal(const CallerRequest &request, bool isRepeatable) const;
+    void dispatch(CallerToken token);
+    /// False where the request was held off or waits for another one like it.
+    bool passSuspicion(CallerToken token, Pending &pending, bool &isIsolated);
+    void send(CallerToken token, Pending &pending, std::shared_ptr<const Endpoint> endpoint, bool isIsolated);
+    void endAnswered(CallerToken token, Pending &pending);
+    void endTry(CallerToken token, Pending &pending);
+    void retryOrFinish(CallerToken token, Pending &pending, RequestOutcome outcome, ErrorCode code, std::string detail);
+    bool mayRetry(const Pending &pending, RequestOutcome outcome, ErrorCode code) const;
+    void finishWithout(CallerToken token, RequestOutcome outcome, ErrorCode code, std::string detail);
+    void finish(CallerToken token, CallerAnswer answer);
+    void refuse(const CallerRequest &request, const Error &error);
+    void recordEvidence(const Pending &pending, const AnswerFrame &answer);
+    void recordCrash(Pending &pending);
+    std::uint64_t fingerprintOf(Pending &pending);
+    void wakeWaiting();
+    std::vector<std::uint64_t> triesOn(const std::string &proxyId) const;
+    std::vector<CoordinatorOutput> takeOutputs();
+
+    Settings m_settings;
+    RoutingState &m_routing;
+    UpstreamSelector &m_selector;
+    const Clock &m_clock;
+
+    std::uint64_t m_nextRequestId = 1;
+    std::unordered_map<CallerToken, Pending> m_pending;
+    /// Tries in flight by request id.
+    std::unordered_map<std::uint64_t, CallerToken> m_tries;
+    std::unordered_map<std::string, std::set<std::uint64_t>> m_triesByProxy;
+    std::set<std::pair<TimePoint, CallerToken>> m_deadlines;
+    /// Current connection and incarnation by proxy.
+    std::unordered_map<std::string, std::pair<std::uint64_t, std::uint64_t>> m_connections;
+    /// The request that runs in isolation, by fingerprint, and those like it that wait for its end.
+    std::unordered_map<std::uint64_t, CallerToken> m_trials;
+    std::unordered_map<std::uint64_t, std::deque<CallerToken>> m_waiting;
+    std::vector<std::uint64_t> m_endedTrials;
+    std::uint64_t m_bufferedBytes = 0;
+    RequestCounts m_counts;
+    std::vector<CoordinatorOutput> m_outputs;
+};
+
+} // namespace Fuchsiastep
--- a/Libraries/LibRouting/LibRouting.h
+++ b/Libraries/LibRouting/LibRouting.h
@@ -1,3 +1,13 @@
 #pragma once
 
 // The public header of LibRouting: which upstream takes a request, and when a request is tried again.
+
+#include <LibRouting/ColdStartRamp.h>
+#include <LibRouting/CrashSuspectEntry.h>
+#include <LibRouting/CrashSuspects.h>
+#include <LibRouting/EjectionPolicy.h>
+#include <LibRouting/LoadEstimate.h>
+#include <LibRouting/RequestFingerprint.h>
+#include <LibRouting/RetryBudget.h>
+#include <LibRouting/RoutingState.h>
+#include <LibRouting/UpstreamSelector.h>
--- /dev/null
+++ b/Libraries/LibRouting/LoadEstimate.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibConfiguration/Endpoint.h>
+#include <LibCore/LibCore.h>
+#include <LibWire/LoadReport.h>
+
+#include <string>
+#include <unordered_map>
+
+namespace Fuchsiastep {
+
+/// Requests that an upstream is likely to hold: the proxy's own requests in flight, plus the work of others
+/// according to the last report, which loses weight with age.
+class LoadEstimate
+{
+public:
+    struct Settings
+    {
+        /// A report has half its weight after this time.
+        Duration halfLife = std::chrono::milliseconds(500);
+        /// Reports of more than this many times the slots are cut off, because a report may be wrong.
+        double maximumReportedSlots = 5;
+        /// Weight of the load that the upstream reports itself, in slots at full load. It is small because that
+        /// report may lag or mislead, while slots and queue are counted by the proxy beside the upstream.
+        double selfReportWeight = 0.25;
+        /// Own load from which an upstream counts as full, in multiples of its slots.
+        double fullSlots = 3;
+    };
+
+    LoadEstimate(const Settings &settings, const Clock &clock);
+
+    void recordStart(const std::string &upstreamId);
+    void recordEnd(const std::string &upstreamId);
+    void recordReport(const std::string &upstreamId, const LoadReport &report);
+    void forget(const std::string &upstreamId);
+
+    std::uint32_t inFlight(const std::string &upstreamId) const;
+    /// Occupied share of the slots; above 1 when requests wait.
+    double load(const Endpoint &endpoint) const;
+    /// True where another request would only wait or be shed. \a share is the one of ColdStartRamp.
+    bool isFull(const Endpoint &endpoint, double share) const;
+
+private:
+    struct Upstream
+    {
+        std::uint32_t inFlight = 0;
+        /// Work of other callers at the time of the report, in requests.
+        double reportedByOthers = 0;
+        TimePoint reportedAt;
+    };
+
+    Settings m_settings;
+    const Clock &m_clock;
+    std::unordered_map<std::string, Upstream> m_upstreams;
+};
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibRouting/RoutingState.cpp
@@ -0,0 +1,21 @@
+#include <LibRouting/RoutingState.h>
+
+namespace Fuchsiastep {
+
+RoutingState::RoutingState(const Settings &settings, const Clock &clock, Random &random)
+    : load(settings.load, clock)
+    , ejections(settings.ejections, clock, random)
+    , ramp(settings.ramp, clock)
+    , retries(settings.retries, clock)
+    , suspects(settings.suspects, clock)
+{ }
+
+void RoutingState::forget(const std::string &service, const std::string &upstreamId, std::size_t remaining)
+{
+    load.forget(upstreamId);
+    ramp.forget(upstreamId);
+    ejections.forget(service, upstreamId);
+    ejections.setServiceSize(service, remaining);
+}
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibRouting/RoutingState.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <LibRouting/ColdStartRamp.h>
+#include <LibRouting/CrashSuspects.h>
+#include <LibRouting/EjectionPolicy.h>
+#include <LibRouting/LoadEstimate.h>
+#include <LibRouting/RetryBudget.h>
+
+namespace Fuchsiastep {
+
+/// Everything that a proxy remembers about upstreams for routing. One per proxy, shared by the selector, the
+/// caller side and the upstream side.
+struct RoutingState
+{
+    struct Settings
+    {
+        LoadEstimate::Settings load;
+        EjectionPolicy::Settings ejections;
+        ColdStartRamp::Settings ramp;
+        RetryBudget::Settings retries;
+        CrashSuspects::Settings suspects;
+    };
+
+    RoutingState(const Settings &settings, const Clock &clock, Random &random);
+
+    /// The upstream has left; its service has \a remaining upstreams.
+    void forget(const std::string &service, const std::string &upstreamId, std::size_t remaining);
+
+    LoadEstimate load;
+    EjectionPolicy ejections;
+    ColdStartRamp ramp;
+    RetryBudget retries;
+    CrashSuspects suspects;
+};
+
+} // namespace Fuchsiastep
