--- a/Libraries/LibCore/LibCore.h
+++ b/Libraries/LibCore/LibCore.h
@@ -6,6 +6,7 @@
 #include <LibCore/Digest.h>
 #include <LibCore/Error.h>
 #include <LibCore/ErrorCode.h>
+#include <LibCore/FlagNames.h>
 #include <LibCore/JsonObjectReader.h>
 #include <LibCore/JsonValue.h>
 #include <LibCore/LogEvent.h>
--- /dev/null
+++ b/Libraries/LibPlatform/PlatformClient.cpp
@@ -0,0 +1,230 @@
+#include <LibPlatform/PlatformClient.h>
+
+#include <LibCore/Logger.h>
+#include <LibPlatform/PlatformCodec.h>
+
+#include <algorithm>
+
+namespace Fuchsiastep {
+
+/// A call that takes longer than this is logged as slow.
+static constexpr Duration SlowCall = std::chrono::seconds(1);
+/// During an outage every call fails; one line per second says so and counts the others.
+static constexpr Duration ReportInterval = std::chrono::seconds(1);
+static constexpr guint IdleConnectionSeconds = 60;
+
+struct PlatformClient::Call
+{
+    /// nullptr once the client is gone.
+    PlatformClient *client = nullptr;
+    PlatformRequest request;
+    Callback callback;
+    TimePoint sentAt;
+    GCancellable *cancellable = nullptr;
+    SoupMessage *message = nullptr;
+    guint timer = 0;
+    bool isOnNetwork = false;
+    /// A connection was open and the first byte may have been sent.
+    bool hasStarted = false;
+    bool isTimedOut = false;
+
+    Call() = default;
+    Call(const Call &) = delete;
+    Call &operator=(const Call &) = delete;
+    ~Call()
+    {
+        if (timer != 0) {
+            g_source_remove(timer);
+        }
+        g_clear_object(&message);
+        g_clear_object(&cancellable);
+    }
+};
+
+PlatformClient::PlatformClient(PlatformClientSettings settings) : m_settings(std::move(settings))
+{
+    const int connections = static_cast<int>(std::max<std::size_t>(m_settings.maximumConcurrency, 1));
+    // No proxy of the environment may stand between this process and the platform.
+    m_session = soup_session_new_with_options("max-conns",
+        connections,
+        "max-conns-per-host",
+        connections,
+        "idle-timeout",
+        IdleConnectionSeconds,
+        "proxy-resolver",
+        nullptr,
+        nullptr);
+    soup_session_remove_feature_by_type(m_session, SOUP_TYPE_CONTENT_DECODER);
+}
+
+PlatformClient::~PlatformClient()
+{
+    for (Call *call : m_calls) {
+        call->client = nullptr;
+        if (!call->isOnNetwork) {
+            delete call;
+            continue;
+        }
+        // The session still answers the call, which onAnswered() then only frees.
+        g_cancellable_cancel(call->cancellable);
+    }
+    g_object_unref(m_session);
+}
+
+void PlatformClient::send(PlatformRequest request, Callback callback)
+{
+    auto owned = std::make_unique<Call>();
+    Call &call = *owned.release();
+    call.client = this;
+    call.request = std::move(request);
+    call.callback = std::move(callback);
+    call.sentAt = m_clock.now();
+    m_calls.insert(&call);
+    const bool isRefused = m_waiting.size() >= m_settings.maximumWaiting && m_onNetwork >= m_settings.maximumConcurrency;
+    const auto timeoutMs = std::chrono::ceil<std::chrono::milliseconds>(m_settings.timeout).count();
+    // A refused call is answered from the main loop like any other.
+    call.timer = g_timeout_add(isRefused ? 0 : static_cast<guint>(timeoutMs), onTimeout, &call);
+    if (isRefused) {
+        return;
+    }
+    m_waiting.push_back(&call);
+    startWaiting();
+}
+
+void PlatformClient::startWaiting()
+{
+    while (!m_waiting.empty() && m_onNetwork < std::max<std::size_t>(m_settings.maximumConcurrency, 1)) {
+        Call *call = m_waiting.front();
+        m_waiting.pop_front();
+        start(*call);
+    }
+}
+
+static const char *mediaTypeOf(const PlatformRequest &request)
+{
+    return std::holds_alternative<PutObject>(request) ? PlatformObjectMediaType : PlatformMediaType;
+}
+
+void PlatformClient::start(Call &call)
+{
+    const PlatformHttpRequest http = encodePlatformRequest(call.request);
+    call.message = soup_message_new(http.method.c_str(), (m_settings.baseUrl + http.path).c_str());
+    if (call.message == nullptr) {
+        g_source_remove(call.timer);
+        call.timer = g_timeout_add(0, onTimeout, &call);
+        return;
+    }
+    soup_message_add_flags(call.message, SOUP_MESSAGE_NO_REDIRECT);
+    if (http.method != "GET") {
+        GBytes *body = g_bytes_new(http.body.data(), http.body.size());
+        soup_message_set_request_body_from_bytes(call.message, mediaTypeOf(call.request), body);
+        g_bytes_unref(body);
+    }
+    call.cancellable = g_cancellable_new();
+    call.isOnNetwork = true;
+    ++m_onNetwork;
+    // The signal comes after the connection is open and before the first byte.
+    g_signal_connect(call.message, "starting", G_CALLBACK(onStarting), &call);
+    soup_session_send_and_read_async(m_session, call.message, G_PRIORITY_DEFAULT, call.cancellable, onAnswered, &call);
+}
+
+void PlatformClient::onStarting(SoupMessage *, gpointer data)
+{
+    static_cast<Call *>(data)->hasStarted = true;
+}
+
+gboolean PlatformClient::onTimeout(gpointer data)
+{
+    auto &call = *static_cast<Call *>(data);
+    call.timer = 0;
+    call.isTimedOut = true;
+    if (call.isOnNetwork) {
+        // Whether the call was sent is known for certain only when the session has let go of it.
+        g_cancellable_cancel(call.cancellable);
+        return G_SOURCE_REMOVE;
+    }
+    PlatformClient &client = *call.client;
+    std::erase(client.m_waiting, &call);
+    client.finish(call, PlatformFailure {{ErrorCode::PlatformUnavailable, "not sent: too many calls wait, or the address is not valid"}});
+    return G_SOURCE_REMOVE;
+}
+
+/// The answer to a call that ended in a transport error.
+static PlatformResponse failureOf(const PlatformRequest &request, bool hasStarted, std::string detail)
+{
+    const bool isUnknown = hasStarted && isWrite(request);
+    return PlatformFailure {{isUnknown ? ErrorCode::PlatformOutcomeUnknown : ErrorCode::PlatformUnavailable, std::move(detail)}};
+}
+
+static PlatformResponse decodeAnswer(const PlatformRequest &request, unsigned status, std::string_view body)
+{
+    Result<PlatformResponse> response = tryDecodePlatformResponse(request, status, body);
+    if (!isError(response)) {
+        return valueOf(std::move(response));
+    }
+    if (!isWrite(request)) {
+        return PlatformFailure {errorOf(response)};
+    }
+    return PlatformFailure {{ErrorCode::PlatformOutcomeUnknown, "malformed answer: " + errorOf(response).detail}};
+}
+
+void PlatformClient::onAnswered(GObject *session, GAsyncResult *result, gpointer data)
+{
+    auto *call = static_cast<Call *>(data);
+    g_autoptr(GError) error = nullptr;
+    g_autoptr(GBytes) body = soup_session_send_and_read_finish(SOUP_SESSION(session), result, &error);
+    g_signal_handlers_disconnect_by_data(call->message, call);
+    if (call->client == nullptr) {
+        delete call;
+        return;
+    }
+    PlatformClient &client = *call->client;
+    --client.m_onNetwork;
+    if (body == nullptr) {
+        const std::string detail = call->isTimedOut ? "timeout" : error->message;
+        client.finish(*call, failureOf(call->request, call->hasStarted, detail));
+        return;
+    }
+    gsize size = 0;
+    const auto *content = static_cast<const char *>(g_bytes_get_data(body, &size));
+    const std::string_view text = size == 0 ? std::string_view() : std::string_view(content, size);
+    client.finish(*call, decodeAnswer(call->request, soup_message_get_status(call->message), text));
+}
+
+void PlatformClient::finish(Call &call, PlatformResponse response)
+{
+    report(call, response);
+    const std::unique_ptr<Call> owned(&call);
+    m_calls.erase(&call);
+    startWaiting();
+    // The callback may destroy the client, so nothing of it is used afterwards.
+    const Callback callback = std::move(call.callback);
+    callback(std::move(response));
+}
+
+static std::string_view nameOf(const PlatformRequest &request)
+{
+    static constexpr std::array<std::string_view, 5> Names {"read", "scan", "transaction", "get-object", "put-object"};
+    return Names.at(request.index());
+}
+
+void PlatformClient::report(const Call &call, const PlatformResponse &response)
+{
+    const TimePoint now = m_clock.now();
+    const Duration elapsed = now - call.sentAt;
+    const auto *failure = std::get_if<PlatformFailure>(&response);
+    if (failure == nullptr && elapsed < SlowCall) {
+        return;
+    }
+    if (m_lastReport && now - *m_lastReport < ReportInterval) {
+        ++m_unreported;
+        return;
+    }
+    const LogEvent event = failure != nullptr ? LogEvent::PlatformCallFailed : LogEvent::PlatformCallSlow;
+    const std::string outcome = failure != nullptr ? describe(failure->error) : "answered";
+    logEvent(event, {{"call", nameOf(call.request)}, {"elapsed_us", elapsed.count()}, {"outcome", outcome}, {"unreported", m_unreported}});
+    m_lastReport = now;
+    m_unreported = 0;
+}
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibPlatform/PlatformClient.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibPlatform/PlatformClientSettings.h>
+#include <LibPlatform/PlatformRequest.h>
+#include <LibPlatform/PlatformResponse.h>
+
+#include <libsoup/soup.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <unordered_set>
+
+namespace Fuchsiastep {
+
+/// Calls the platform over HTTP on the default main context. Every call is answered exactly once,
+/// never from within send(). A call that certainly had no effect fails as PlatformUnavailable (or
+/// PlatformMalformedRequest); a write that was sent and not properly answered as PlatformOutcomeUnknown;
+/// a read that could not be read as PlatformMalformedAnswer. Nothing is retried.
+class PlatformClient
+{
+public:
+    using Callback = std::function<void(PlatformResponse)>;
+
+    explicit PlatformClient(PlatformClientSettings settings);
+    /// Cancels what is in flight. Callbacks that are still due are dropped.
+    ~PlatformClient();
+    PlatformClient(const PlatformClient &) = delete;
+    PlatformClient &operator=(const PlatformClient &) = delete;
+
+    void send(PlatformRequest request, Callback callback);
+
+    /// Calls that were sent or wait to be sent.
+    std::size_t pendingCalls() const
+    {
+        return m_calls.size();
+    }
+
+private:
+    struct Call;
+
+    static void onAnswered(GObject *session, GAsyncResult *result, gpointer data);
+    static gboolean onTimeout(gpointer data);
+    static void onStarting(SoupMessage *message, gpointer data);
+
+    void start(Call &call);
+    void startWaiting();
+    /// Gives \a call its answer and destroys it.
+    void finish(Call &call, PlatformResponse response);
+    void report(const Call &call, const PlatformResponse &response);
+
+    PlatformClientSettings m_settings;
+    Clock m_clock = Clock::system();
+    SoupSession *m_session = nullptr;
+    std::unordered_set<Call *> m_calls;
+    std::deque<Call *> m_waiting;
+    std::size_t m_onNetwork = 0;
+    std::optional<TimePoint> m_lastReport;
+    std::uint64_t m_unreported = 0;
+};
+
+} // namespace Fuchsiastep
--- a/Libraries/LibPlatform/PlatformRequest.h
+++ b/Libraries/LibPlatform/PlatformRequest.h
@@ -57,4 +57,7 @@
 /// A call to the platform's table or object store.
 using PlatformRequest = std::variant<ReadRows, ScanRows, Transaction, GetObject, PutObject>;
 
+/// Whether \a request can change the table or the object store.
+bool isWrite(const PlatformRequest &request);
+
 } // namespace Fuchsiastep
