Add upstream-stand-in

Cause: request handling must be tried against upstreams that are cold, shed load, drain, mislead and crash.

--- /dev/null
+++ b/Services/upstream-stand-in/CancelReason.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace Fuchsiastep {
+
+/// Why a run was given up before its end.
+enum class CancelReason {
+    ClientGone,
+    Deadline,
+};
+
+} // namespace Fuchsiastep
