--- /dev/null
+++ b/Libraries/LibProxy/OperatorTask.cpp
@@ -0,0 +1,202 @@
+#include <LibProxy/OperatorTask.h>
+
+#include <LibProxy/SoupSupport.h>
+
+#include <array>
+#include <charconv>
+
+namespace Fuchsiastep {
+
+static constexpr std::uint64_t MaximumBodyBytes = 8 * 1024 * 1024; // A whole set of declarations at the target size.
+static constexpr Duration SilenceLimit = std::chrono::seconds(3);
+static constexpr std::uint32_t MaximumAuditEntries = 1000;
+
+struct OperatorTask::Endpoint
+{
+    std::string_view method;
+    std::string_view path;
+    Handler handler;
+};
+
+OperatorTask::OperatorTask(const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent)
+    : m_clock(clock)
+    , m_metrics(metrics)
+    , m_onEvent(std::move(onEvent))
+    , m_server(MaximumBodyBytes, [this](HttpServerEvent event) { handleHttp(std::move(event)); })
+    , m_silenceTimer(clock, [this] { m_onEvent(AnnouncementsEnded {}); })
+    , m_mailbox([this](OperatorTaskMessage message) { std::visit([this](const auto &content) { handle(content); }, message); })
+    , m_replies([this](std::pair<std::uint64_t, OperatorReply> reply) { answer(reply.first, reply.second); })
+{
+}
+
+OperatorTask::~OperatorTask() = default;
+
+Result<Done> OperatorTask::tryListen(const SocketAddress &address)
+{
+    return m_server.tryListen(address);
+}
+
+SocketAddress OperatorTask::address() const
+{
+    return m_server.address();
+}
+
+void OperatorTask::post(OperatorTaskMessage message)
+{
+    m_mailbox.post(message);
+}
+
+void OperatorTask::handle(const ReadyChanged &change)
+{
+    m_isReady = change.isReady;
+}
+
+void OperatorTask::handleHttp(HttpServerEvent event)
+{
+    if (const auto *request = std::get_if<HttpRequest>(&event)) {
+        dispatch(*request);
+    }
+}
+
+void OperatorTask::dispatch(const HttpRequest &request)
+{
+    static constexpr std::array Endpoints {
+        Endpoint {"GET", "/ready", &OperatorTask::ready},
+        Endpoint {"GET", "/metrics", &OperatorTask::metrics},
+        Endpoint {"POST", "/v1/upstream/announce", &OperatorTask::announce},
+        Endpoint {"GET", "/v1/operator/status", &OperatorTask::status},
+        Endpoint {"GET", "/v1/operator/members", &OperatorTask::members},
+        Endpoint {"GET", "/v1/operator/objects", &OperatorTask::objects},
+        Endpoint {"POST", "/v1/operator/changes", &OperatorTask::changes},
+        Endpoint {"GET", "/v1/operator/audit", &OperatorTask::audit},
+        Endpoint {"GET", "/v1/operator/routes", &OperatorTask::routes},
+        Endpoint {"POST", "/v1/operator/drain", &OperatorTask::drain},
+    };
+    if (request.rejection != ErrorCode::None) {
+        fail(request.token, {request.rejection, "at most " + std::to_string(MaximumBodyBytes) + " bytes"});
+        return;
+    }
+    for (const Endpoint &endpoint : Endpoints) {
+        if (endpoint.method == request.method && endpoint.path == request.path) {
+            (this->*endpoint.handler)(request);
+            return;
+        }
+    }
+    fail(request.token, {ErrorCode::OperatorRequestMalformed, "no such request: " + request.method + ' ' + request.path});
+}
+
+void OperatorTask::ready(const HttpRequest &request)
+{
+    m_server.answer({request.token, static_cast<std::uint16_t>(m_isReady ? 200 : 503), {}, m_isReady ? "ready\n" : "not ready\n"});
+}
+
+void OperatorTask::metrics(const HttpRequest &request)
+{
+    const ProcessUsage usage = ProcessUsage::current();
+    m_metrics.setGauge("fuchsiastep_processor_seconds", std::chrono::duration<double>(usage.processorTime).count());
+    m_metrics.setGauge("fuchsiastep_resident_bytes", static_cast<double>(usage.residentBytes));
+    m_server.answer({request.token, 200, {{"content-type", "text/plain; version=0.0.4"}}, m_metrics.toText()});
+}
+
+void OperatorTask::announce(const HttpRequest &request)
+{
+    const Result<UpstreamAnnouncement> announcement = UpstreamAnnouncement::tryParse(request.body);
+    if (isError(announcement)) {
+        fail(request.token, errorOf(announcement));
+        return;
+    }
+    m_silenceTimer.setDeadline(m_clock.now() + SilenceLimit);
+    m_onEvent(valueOf(announcement));
+    m_server.answer({request.token, 204, {}, {}});
+}
+
+void OperatorTask::status(const HttpRequest &request)
+{
+    m_onEvent(WholeStatusWanted {replyTo(request.token)});
+}
+
+void OperatorTask::members(const HttpRequest &request)
+{
+    m_onEvent(MembersWanted {replyTo(request.token)});
+}
+
+void OperatorTask::objects(const HttpRequest &request)
+{
+    m_onEvent(ObjectsWanted {replyTo(request.token)});
+}
+
+void OperatorTask::changes(const HttpRequest &request)
+{
+    m_onEvent(ChangeSubmitted {request.body, replyTo(request.token)});
+}
+
+static std::map<std::string, std::string> parseQuery(const std::string &query)
+{
+    std::map<std::string, std::string> fields;
+    GHashTable *decoded = soup_form_decode(query.c_str());
+    GHashTableIter iterator;
+    g_hash_table_iter_init(&iterator, decoded);
+    gpointer name = nullptr;
+    gpointer value = nullptr;
+    while (g_hash_table_iter_next(&iterator, &name, &value)) {
+        fields[static_cast<const char *>(name)] = static_cast<const char *>(value);
+    }
+    g_hash_table_unref(decoded);
+    return fields;
+}
+
+/// Returns false where the field is there and not a number.
+template<typename Number>
+static bool readNumber(const std::map<std::string, std::string> &fields, const std::string &name, Number &number)
+{
+    const auto field = fields.find(name);
+    if (field == fields.end()) {
+        return true;
+    }
+    const std::string &text = field->second;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    return parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+}
+
+void OperatorTask::audit(const HttpRequest &request)
+{
+    AuditWanted wanted;
+    const std::map<std::string, std::string> fields = parseQuery(request.query);
+    if (!readNumber(fields, "after", wanted.afterVersion) || !readNumber(fields, "limit", wanted.limit) || wanted.limit == 0
+        || wanted.limit > MaximumAuditEntries) {
+        fail(request.token, {ErrorCode::OperatorRequestMalformed, "after must be a version and limit from 1 to 1000"});
+        return;
+    }
+    wanted.reply = replyTo(request.token);
+    m_onEvent(std::move(wanted));
+}
+
+void OperatorTask::routes(const HttpRequest &request)
+{
+    std::map<std::string, std::string> fields = parseQuery(request.query);
+    m_onEvent(RoutesWanted {std::move(fields["service"]), replyTo(request.token)});
+}
+
+void OperatorTask::drain(const HttpRequest &request)
+{
+    m_onEvent(DrainWanted {});
+    answer(request.token, {202, JsonValue::Object {{"draining", true}}});
+}
+
+void OperatorTask::fail(std::uint64_t token, const Error &error)
+{
+    logEvent(LogEvent::OperatorRequestRejected, {{"error", describe(error)}});
+    answer(token, operatorFailure(error));
+}
+
+void OperatorTask::answer(std::uint64_t token, const OperatorReply &reply)
+{
+    m_server.answer({token, reply.status, {{"content-type", "application/json"}}, reply.body.toText() + '\n'});
+}
+
+OperatorReplyHandler OperatorTask::replyTo(std::uint64_t token)
+{
+    return [this, token](OperatorReply reply) { m_replies.post({token, std::move(reply)}); };
+}
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibProxy/OperatorTask.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <LibProxy/HttpServer.h>
+#include <LibProxy/Mailbox.h>
+#include <LibProxy/OperatorMessages.h>
+#include <LibProxy/StatusWanted.h>
+#include <LibProxy/Timer.h>
+#include <LibProxy/UpstreamAnnouncement.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace Fuchsiastep {
+
+/// The proxy serves, or does not.
+struct ReadyChanged
+{
+    bool isReady = false;
+};
+
+using OperatorTaskMessage = std::variant<ReadyChanged>;
+
+/// The upstream has not announced itself for 3 s.
+struct AnnouncementsEnded
+{
+};
+
+struct DrainWanted
+{
+};
+
+/// Collect the whole status and reply.
+struct WholeStatusWanted
+{
+    OperatorReplyHandler reply;
+};
+
+struct MembersWanted
+{
+    OperatorReplyHandler reply;
+};
+
+using OperatorTaskEvent = std::variant<UpstreamAnnouncement,
+                                       AnnouncementsEnded,
+                                       DrainWanted,
+                                       WholeStatusWanted,
+                                       MembersWanted,
+                                       ChangeSubmitted,
+                                       ObjectsWanted,
+                                       AuditWanted,
+                                       RoutesWanted>;
+
+/// Serves the control address: operators, the upstream's announcements, metrics and readiness.
+class OperatorTask
+{
+public:
+    using EventHandler = std::function<void(OperatorTaskEvent event)>;
+
+    OperatorTask(const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent);
+    ~OperatorTask();
+
+    /// Fails with ListenFailed.
+    Result<Done> tryListen(const SocketAddress &address);
+    SocketAddress address() const;
+
+    void post(OperatorTaskMessage message);
+
+private:
+    using Handler = void (OperatorTask::*)(const HttpRequest &request);
+    struct Endpoint;
+    struct Reply;
+
+    void handle(const ReadyChanged &change);
+    void handleHttp(HttpServerEvent event);
+    void dispatch(const HttpRequest &request);
+
+    void ready(const HttpRequest &request);
+    void metrics(const HttpRequest &request);
+    void announce(const HttpRequest &request);
+    void status(const HttpRequest &request);
+    void members(const HttpRequest &request);
+    void objects(const HttpRequest &request);
+    void changes(const HttpRequest &request);
+    void audit(const HttpRequest &request);
+    void routes(const HttpRequest &request);
+    void drain(const HttpRequest &request);
+
+    void fail(std::uint64_t token, const Error &error);
+    void answer(std::uint64_t token, const OperatorReply &reply);
+    OperatorReplyHandler replyTo(std::uint64_t token);
+
+    const Clock &m_clock;
+    MetricsRegistry &m_metrics;
+    EventHandler m_onEvent;
+    bool m_isReady = false;
+    HttpServer m_server;
+    Timer m_silenceTimer;
+    Mailbox<OperatorTaskMessage> m_mailbox;
+    /// Replies come from other tasks in a later turn.
+    Mailbox<std::pair<std::uint64_t, OperatorReply>> m_replies;
+};
+
+} // namespace Fuchsiastep
--- a/Libraries/LibProxy/PeerLinks.cpp
+++ b/Libraries/LibProxy/PeerLinks.cpp
@@ -12,6 +12,9 @@
     bool isOutgoing = false;
     /// The peer's Hello arrived.
     bool isEstablished = false;
+    /// Key in m_outgoing.
+    std::string outgoingKey;
+    /// The id that the peer gave in its Hello; before that, the id that an outgoing connection is meant for.
     std::string proxyId;
     std::uint64_t incarnation = 0;
     SocketAddress address;
@@ -82,6 +85,7 @@
     }
     Link &link = addLink(true);
     const std::uint64_t id = link.id;
+    link.outgoingKey = proxyId;
     link.proxyId = proxyId;
     link.address = address;
     link.connection = PeerConnection::connect(
@@ -102,6 +106,27 @@
     }
 }
 
+bool PeerLinks::sendAnyWay(const std::string &proxyId, const std::optional<SocketAddress> &address, const Frame &frame)
+{
+    const auto outgoing = m_outgoing.find(proxyId);
+    const auto incoming = m_incoming.find(proxyId);
+    if (outgoing == m_outgoing.end() && incoming != m_incoming.end()) {
+        send(*m_links.at(incoming->second), frame);
+        return true;
+    }
+    if (address) {
+        sendTo(proxyId, *address, frame);
+        return true;
+    }
+    sendToOpen(proxyId, frame);
+    return outgoing != m_outgoing.end();
+}
+
+void PeerLinks::sendToAddress(const SocketAddress &address, const Frame &frame)
+{
+    sendTo(address.toString(), address, frame);
+}
+
 void PeerLinks::sendOn(std::uint64_t connectionId, const Frame &frame)
 {
     const auto link = m_links.find(connectionId);
@@ -156,8 +181,15 @@
         }
         link.isEstablished = true;
         link.incarnation = hello->incarnation;
+        const bool isMeantForOther = link.isOutgoing && link.outgoingKey != link.address.toString() && link.outgoingKey != hello->proxyId;
+        if (isMeantForOther) {
+            // Another proxy took over the address. Frames for the old one must not be answered by it.
+            handleClosed(connectionId, {ErrorCode::ProtocolViolation, "expected " + link.outgoingKey + ", found " + hello->proxyId});
+            return;
+        }
+        link.proxyId = hello->proxyId;
         if (!link.isOutgoing) {
-            link.proxyId = hello->proxyId;
+            m_incoming[link.proxyId] = connectionId;
         }
         logEvent(LogEvent::PeerConnected, {{"peer", hello->proxyId}, {"connection", connectionId}});
         m_onEvent(PeerLinkEstablished {connectionId, link.proxyId, link.incarnation, link.isOutgoing});
@@ -170,6 +202,14 @@
     m_onEvent(PeerFrameReceived {connectionId, link.proxyId, link.incarnation, std::move(frame)});
 }
 
+static void forget(std::map<std::string, std::uint64_t> &connections, const std::string &key, std::uint64_t connectionId)
+{
+    const auto known = connections.find(key);
+    if (known != connections.end() && known->second == connectionId) {
+        connections.erase(known);
+    }
+}
+
 void PeerLinks::handleClosed(std::uint64_t connectionId, const Error &error)
 {
     const auto found = m_links.find(connectionId);
@@ -178,10 +218,8 @@
     }
     const std::unique_ptr<Link> link = std::move(found->second);
     m_links.erase(found);
-    const auto outgoing = m_outgoing.find(link->proxyId);
-    if (outgoing != m_outgoing.end() && outgoing->second == connectionId) {
-        m_outgoing.erase(outgoing);
-    }
+    forget(m_outgoing, link->outgoingKey, connectionId);
+    forget(m_incoming, link->proxyId, connectionId);
     const bool isNormal = error.code == ErrorCode::ConnectionClosed || error.code == ErrorCode::ConnectionRefused;
     logEvent(isNormal ? LogEvent::PeerDisconnected : LogEvent::FrameRejected,
         {{"peer", link->proxyId}, {"connection", connectionId}, {"error", describe(error)}});
--- a/Libraries/LibProxy/PeerLinks.h
+++ b/Libraries/LibProxy/PeerLinks.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -60,6 +61,11 @@
     std::uint64_t sendTo(const std::string &proxyId, const SocketAddress &address, const Frame &frame);
     /// Sends on the outgoing connection to \a proxyId; drops the frame where there is none.
     void sendToOpen(const std::string &proxyId, const Frame &frame);
+    /// Sends on any connection to or from \a proxyId, or opens one where \a address is known. For frames that
+    /// need no answer on the same connection. Returns false where there is no way to the peer.
+    bool sendAnyWay(const std::string &proxyId, const std::optional<SocketAddress> &address, const Frame &frame);
+    /// Sends to a proxy of which only the address is known.
+    void sendToAddress(const SocketAddress &address, const Frame &frame);
     /// Sends on a connection that is open; drops the frame otherwise.
     void sendOn(std::uint64_t connectionId, const Frame &frame);
     /// Bytes that wait to be sent on the connection.
@@ -85,7 +91,10 @@
     std::unique_ptr<PeerListener> m_listener;
     std::uint64_t m_nextConnectionId = 1;
     std::map<std::uint64_t, std::unique_ptr<Link>> m_links;
+    /// Outgoing connections by proxy id, or by address where only that was known when they were opened.
     std::map<std::string, std::uint64_t> m_outgoing;
+    /// The latest established connection from each proxy.
+    std::map<std::string, std::uint64_t> m_incoming;
 };
 
 } // namespace Fuchsiastep
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -1,6 +1,6 @@
 #include <LibProxy/RequestTask.h>
 
-#include <LibProxy/SoupSupport.h>
+#include <LibProxy/EarliestDeadline.h>
 
 #include <algorithm>
 
@@ -48,17 +48,6 @@
     return selector;
 }
 
-std::optional<TimePoint> earliest(std::initializer_list<std::optional<TimePoint>> deadlines)
-{
-    std::optional<TimePoint> first;
-    for (const std::optional<TimePoint> &deadline : deadlines) {
-        if (deadline && (!first || *deadline < *first)) {
-            first = deadline;
-        }
-    }
-    return first;
-}
-
 } // namespace
 
 struct RequestTask::CallInProgress
@@ -416,7 +405,7 @@
         m_onEvent(SuspectsChanged {std::move(suspects)});
     }
     updateGauges();
-    std::optional<TimePoint> next = earliest({m_coordinator.nextDeadline(), m_gate.nextDeadline(), m_ledger.nextDeadline()});
+    std::optional<TimePoint> next = earliestDeadline({m_coordinator.nextDeadline(), m_gate.nextDeadline(), m_ledger.nextDeadline()});
     if (m_isDraining && !m_isDrainReported) {
         const bool isIdle =
             m_isGateDrained && m_ledger.isIdle() && m_coordinator.inFlight() == 0 && m_callers.requestsOpen() == 0 && !m_links.hasQueuedBytes();
@@ -425,7 +414,7 @@
             m_onEvent(RequestsDrained {});
         } else {
             // Sockets do not tell when they have taken the last byte, so that is looked up until it is so.
-            next = earliest({next, m_clock.now() + DrainPollInterval});
+            next = earliestDeadline({next, m_clock.now() + DrainPollInterval});
         }
     }
     m_timer.setDeadline(next);
