--- /dev/null
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -0,0 +1,431 @@
+#include <LibProxy/ConfigurationTask.h>
+
+#include <LibProxy/EarliestDeadline.h>
+#include <LibProxy/OperatorChangeParser.h>
+
+#include <algorithm>
+
+namespace Fuchsiastep {
+
+struct ConfigurationTask::ChangeInProgress
+{
+    ChangeCommitter committer;
+    std::string operationId;
+    std::string operatorName;
+    OperatorReplyHandler reply;
+};
+
+static DistributorSettings distributorSettings(const DistributionSettings &settings)
+{
+    DistributorSettings distributor;
+    distributor.fanOut = settings.fanOut;
+    distributor.batchDelay = settings.batchWindow;
+    return distributor;
+}
+
+static ConfigurationReaderSettings readerSettings(const DistributionSettings &settings)
+{
+    ConfigurationReaderSettings reader;
+    reader.pollInterval = settings.readerPollInterval;
+    // The distributor collects changes already; a second window would only add delay.
+    reader.batchWindow = Duration(0);
+    return reader;
+}
+
+ConfigurationTask::ConfigurationTask(const ProxySettings &settings,
+                                     const MembershipTable &table,
+                                     const Clock &clock,
+                                     Random &random,
+                                     MetricsRegistry &metrics,
+                                     PeerLinks &links,
+                                     PlatformClient &platform,
+                                     EventHandler onEvent)
+    : m_settings(settings)
+    , m_table(table)
+    , m_clock(clock)
+    , m_random(random)
+    , m_metrics(metrics)
+    , m_links(links)
+    , m_platform(platform)
+    , m_onEvent(std::move(onEvent))
+    , m_distributor(distributorSettings(settings.distribution), table, m_holder, clock, random)
+    , m_reader(readerSettings(settings.distribution), clock, random)
+    , m_gate({}, table, clock, random)
+    , m_timer(clock, [this] { runDue(); })
+    , m_mailbox([this](ConfigurationTaskMessage message) {
+        std::visit([this](const auto &content) { handle(content); }, message);
+        finishTurn();
+    })
+{
+}
+
+ConfigurationTask::~ConfigurationTask() = default;
+
+void ConfigurationTask::start()
+{
+    runDue();
+}
+
+void ConfigurationTask::post(ConfigurationTaskMessage message)
+{
+    m_mailbox.post(std::move(message));
+}
+
+void ConfigurationTask::handle(const PeerFrame &frame)
+{
+    if (const auto *nudge = std::get_if<VersionNudgeFrame>(&frame.frame)) {
+        run(m_reader.handle(VersionNudge {nudge->version}));
+        return;
+    }
+    run(m_distributor.handle(frame));
+    run(m_gate.handle(frame));
+}
+
+void ConfigurationTask::handle(const PeerVersion &version)
+{
+    m_highestVersionSeen = std::max(m_highestVersionSeen, version.held.version);
+    run(m_distributor.handle(version));
+}
+
+void ConfigurationTask::handle(const MemberChange &change)
+{
+    run(m_distributor.handle(change));
+}
+
+void ConfigurationTask::handle(const EndpointsChanged &change)
+{
+    changeView(m_view->withEndpoints(change.stored, change.removedUpstreamIds));
+}
+
+void ConfigurationTask::handle(const FreezeDetected &)
+{
+    run(m_gate.handle(ProcessResumed {}));
+}
+
+void ConfigurationTask::handle(const PlatformAnswered &answered)
+{
+    answered.receive(answered.response);
+}
+
+void ConfigurationTask::handle(const ChangeSubmitted &submitted)
+{
+    Result<OperatorChange> change = tryParseOperatorChange(submitted.body);
+    if (isError(change)) {
+        submitted.reply(operatorFailure(errorOf(change)));
+        return;
+    }
+    if (!m_gate.isOpen()) {
+        submitted.reply(operatorFailure({ErrorCode::ConfigurationUnknown, m_settings.proxyId}));
+        return;
+    }
+    const std::uint64_t id = m_nextChangeId++;
+    auto inProgress = std::make_unique<ChangeInProgress>(
+        ChangeInProgress {ChangeCommitter({}, m_clock, m_random), valueOf(change).operationId, valueOf(change).operatorName, submitted.reply});
+    ChangeCommitter &committer = inProgress->committer;
+    m_changes[id] = std::move(inProgress);
+    run(id, committer.handle(SubmitChange {valueOf(std::move(change)), m_holder.current()}));
+}
+
+void ConfigurationTask::handle(const ObjectsWanted &wanted)
+{
+    const Configuration::Pointer &configuration = m_holder.current();
+    JsonValue body = Declarations::of(*configuration).toJson();
+    auto &members = std::get<JsonValue::Object>(body.content);
+    members["version"] = configuration->version();
+    members["digest"] = configuration->digest().toHex();
+    wanted.reply({200, std::move(body)});
+}
+
+static JsonValue toJson(const AuditEntry &entry)
+{
+    JsonValue::Array changes;
+    for (const AuditedChange &change : entry.changes) {
+        changes.push_back(JsonValue::Object {
+            {"action", changeActionName(change.action)}, {"kind", objectKindName(change.name.kind)}, {"name", change.name.name}});
+    }
+    return JsonValue::Object {
+        {"version", entry.version},
+        {"operation", entry.operationId},
+        {"operator", entry.operatorName},
+        {"unix_ms", entry.unixMilliseconds},
+        {"comment", entry.comment},
+        {"changes", std::move(changes)},
+    };
+}
+
+void ConfigurationTask::handle(const AuditWanted &wanted)
+{
+    callPlatform(AuditLog::request(wanted.afterVersion, wanted.limit), [reply = wanted.reply](const PlatformResponse &response) {
+        const auto *rows = std::get_if<Rows>(&response);
+        if (rows == nullptr) {
+            reply(operatorFailure({ErrorCode::PlatformUnavailable, "the audit trail cannot be read"}));
+            return;
+        }
+        const AuditLog log = AuditLog::decode(rows->rows);
+        JsonValue::Array entries;
+        for (const AuditEntry &entry : log.entries) {
+            entries.push_back(toJson(entry));
+        }
+        JsonValue::Array unreadable;
+        for (const Error &error : log.unreadable) {
+            unreadable.push_back(describe(error));
+        }
+        reply({200, JsonValue::Object {{"entries", std::move(entries)}, {"unreadable", std::move(unreadable)}}});
+    });
+}
+
+void ConfigurationTask::handle(const RoutesWanted &wanted)
+{
+    if (!m_holder.current()->service(wanted.service)) {
+        wanted.reply(operatorFailure({ErrorCode::ServiceUnknown, wanted.service}));
+        return;
+    }
+    JsonValue::Array routes;
+    for (const std::shared_ptr<const Route> &route : m_view->routesOf(wanted.service)) {
+        JsonValue::Array upstreams;
+        for (const std::shared_ptr<const Endpoint> &endpoint : route->endpoints) {
+            upstreams.push_back(endpoint->upstreamId);
+        }
+        routes.push_back(JsonValue::Object {{"selector", route->selector->name}, {"upstreams", std::move(upstreams)}});
+    }
+    wanted.reply({200, JsonValue::Object {{"version", m_holder.current()->version()}, {"routes", std::move(routes)}}});
+}
+
+void ConfigurationTask::handle(const StatusWanted &wanted)
+{
+    const Configuration::Pointer &configuration = m_holder.current();
+    wanted.reply({
+        {"version", configuration->version()},
+        {"digest", configuration->digest().toHex()},
+        {"adopted_unix_ms", m_adoptedUnixMs},
+        {"known_version", std::max(m_highestVersionSeen, configuration->version())},
+        {"ready", m_gate.isOpen()},
+        {"endpoints", static_cast<std::uint64_t>(m_view->endpointCount())},
+        {"is_reader", m_role.isReader},
+        {"platform_reachable", m_isPlatformReadable},
+        {"platform_reads", m_reader.counters().platformReads},
+    });
+}
+
+void ConfigurationTask::run(std::vector<DistributorOutput> outputs)
+{
+    for (DistributorOutput &output : outputs) {
+        std::visit(Overloaded {
+                       [this](const SendFrame &send) { sendFrame(send.peer, send.frame); },
+                       [this](const ConfigurationAdopted &adopted) { adopt(adopted.configuration); },
+                       [this](const ConfigurationRejected &rejected) {
+                           m_metrics.count("fuchsiastep_configurations_rejected_total");
+                           logEvent(LogEvent::ConfigurationRejected, {{"peer", rejected.peer}, {"error", describe(rejected.error)}});
+                       },
+                       [](const RangeReassigned &reassigned) {
+                           logEvent(LogEvent::RangeReassigned, {{"from", reassigned.oldDelegate}, {"to", reassigned.newDelegate}});
+                       },
+                   },
+                   output);
+    }
+}
+
+void ConfigurationTask::run(std::vector<ConfigurationReaderOutput> outputs)
+{
+    for (ConfigurationReaderOutput &output : outputs) {
+        std::visit(Overloaded {
+                       [this](PlatformCall &call) {
+                           callPlatform(std::move(call.request), [this, id = call.id](const PlatformResponse &response) {
+                               setPlatformReadable(!std::holds_alternative<PlatformFailure>(response));
+                               run(m_reader.handle(PlatformReply {id, response}));
+                           });
+                       },
+                       [this](const ConfigurationFound &found) {
+                           m_highestVersionSeen = std::max(m_highestVersionSeen, found.configuration->version());
+                           run(m_distributor.handle(found));
+                       },
+                       [this](const ReaderFailure &failure) {
+                           m_metrics.count("fuchsiastep_reader_failures_total");
+                           logEvent(LogEvent::PlatformCallFailed, {{"error", describe(failure.error)}});
+                       },
+                       [](const VersionReported &reported) {
+                           logEvent(LogEvent::ConfigurationRejected, {{"version", reported.version}, {"error", describe(reported.error)}});
+                       },
+                       [](const SnapshotStored &stored) { logEvent(LogEvent::SnapshotWritten, {{"version", stored.version}}); },
+                   },
+                   output);
+    }
+}
+
+void ConfigurationTask::run(std::vector<StartupGateOutput> outputs)
+{
+    for (StartupGateOutput &output : outputs) {
+        std::visit(Overloaded {
+                       [this](const ReadHead &) { readHead(); },
+                       [this](const SendFrame &send) { sendFrame(send.peer, send.frame); },
+                       [this](const GateOpened &opened) {
+                           logEvent(LogEvent::ProxyReady, {{"version", opened.version}});
+                           m_onEvent(ReadinessChanged {true});
+                       },
+                       [this](const GateClosed &) { m_onEvent(ReadinessChanged {false}); },
+                   },
+                   output);
+    }
+}
+
+void ConfigurationTask::run(std::uint64_t changeId, std::vector<ChangeCommitterOutput> outputs)
+{
+    for (ChangeCommitterOutput &output : outputs) {
+        std::visit(Overloaded {
+                       [this, changeId](PlatformCall &call) {
+                           callPlatform(std::move(call.request), [this, changeId, id = call.id](const PlatformResponse &response) {
+                               const auto change = m_changes.find(changeId);
+                               if (change != m_changes.end()) {
+                                   run(changeId, change->second->committer.handle(PlatformReply {id, response}));
+                               }
+                           });
+                       },
+                       [this, changeId](const ChangeAccepted &accepted) {
+                           const ChangeInProgress &change = *m_changes.at(changeId);
+                           logEvent(LogEvent::ChangeAccepted,
+                                    {{"version", accepted.version}, {"operator", change.operatorName}, {"operation", change.operationId}});
+                           nudgeReaders(accepted.version);
+                           finishChange(changeId,
+                                        {200, JsonValue::Object {{"version", accepted.version}, {"digest", accepted.digest.toHex()}}});
+                       },
+                       [this, changeId](const ChangeRefused &refused) {
+                           const ChangeInProgress &change = *m_changes.at(changeId);
+                           logEvent(LogEvent::ChangeRefused, {{"operator", change.operatorName}, {"error", describe(refused.error)}});
+                           finishChange(changeId, operatorFailure(refused.error));
+                       },
+                   },
+                   output);
+    }
+}
+
+void ConfigurationTask::finishChange(std::uint64_t changeId, const OperatorReply &reply)
+{
+    // The committer is still on the call stack, so it is destroyed in a later turn.
+    m_changes.at(changeId)->reply(reply);
+    post(PlatformAnswered {[this, changeId](const PlatformResponse &) { m_changes.erase(changeId); }, ObjectMissing {}});
+}
+
+void ConfigurationTask::adopt(const Configuration::Pointer &configuration)
+{
+    m_adoptedUnixMs = m_clock.unixMilliseconds();
+    m_metrics.setGauge("fuchsiastep_configuration_version", static_cast<double>(configuration->version()));
+    logEvent(LogEvent::ConfigurationAdopted,
+             {{"version", configuration->version()}, {"digest", configuration->digest().toHex()}, {"unix_ms", m_adoptedUnixMs}});
+    changeView(m_view->withConfiguration(configuration));
+    m_onEvent(VersionHeld {{configuration->version(), configuration->digest()}});
+    run(m_reader.handle(ConfigurationHeld {configuration}));
+    run(m_gate.handle(HeldVersion {configuration->version()}));
+}
+
+void ConfigurationTask::changeView(View::Pointer view)
+{
+    m_view = std::move(view);
+    m_metrics.setGauge("fuchsiastep_endpoints", static_cast<double>(m_view->endpointCount()));
+    m_onEvent(ViewChanged {m_view});
+}
+
+void ConfigurationTask::readHead()
+{
+    callPlatform(ReadRows {{std::string(HeadKey)}}, [this](const PlatformResponse &response) {
+        const auto *rows = std::get_if<Rows>(&response);
+        setPlatformReadable(rows != nullptr);
+        HeadRead head;
+        if (rows != nullptr && rows->rows.size() == 1) {
+            // A table without a head row holds version 0.
+            const Result<HeadRow> row =
+                rows->rows.front().revision == 0 ? Result<HeadRow>(HeadRow {}) : HeadRow::tryDecode(rows->rows.front().value);
+            if (!isError(row)) {
+                head.version = valueOf(row).version;
+                run(m_reader.handle(VersionNudge {valueOf(row).version}));
+            }
+        }
+        run(m_gate.handle(head));
+    });
+}
+
+void ConfigurationTask::setPlatformReadable(bool isReadable)
+{
+    if (isReadable != m_isPlatformReadable) {
+        m_isPlatformReadable = isReadable;
+        run(m_distributor.handle(PlatformReadability {isReadable}));
+    }
+    m_metrics.setGauge("fuchsiastep_platform_reachable", isReadable ? 1 : 0);
+}
+
+void ConfigurationTask::updateReaderRole()
+{
+    if (m_roleRevision == m_table.revision()) {
+        return;
+    }
+    m_roleRevision = m_table.revision();
+    const std::vector<const MemberRecord *> readers =
+        rendezvousMembers(m_table, m_settings.dataCentre, ReaderRoleName, m_settings.distribution.readersPerDataCentre);
+    ReaderRole role;
+    for (std::uint32_t rank = 0; rank < readers.size(); ++rank) {
+        if (readers[rank]->proxyId == m_settings.proxyId) {
+            role = {true, rank};
+        }
+    }
+    if (role.isReader == m_role.isReader && role.rank == m_role.rank) {
+        return;
+    }
+    if (role.isReader != m_role.isReader) {
+        logEvent(LogEvent::ReaderRoleChanged, {{"reader", role.isReader}, {"rank", role.rank}});
+    }
+    m_role = role;
+    run(m_reader.handle(role));
+}
+
+void ConfigurationTask::nudgeReaders(ConfigurationVersion version)
+{
+    run(m_reader.handle(VersionNudge {version}));
+    for (const std::string &dataCentre : m_table.dataCentres()) {
+        for (const MemberRecord *reader :
+             rendezvousMembers(m_table, dataCentre, ReaderRoleName, m_settings.distribution.readersPerDataCentre)) {
+            if (reader->proxyId != m_settings.proxyId) {
+                sendFrame(reader->proxyId, VersionNudgeFrame {version});
+            }
+        }
+    }
+}
+
+void ConfigurationTask::callPlatform(PlatformRequest request, std::function<void(const PlatformResponse &response)> receive)
+{
+    m_metrics.count("fuchsiastep_control_messages_total", "path=\"platform\"");
+    m_platform.send(std::move(request), [this, receive = std::move(receive)](PlatformResponse response) {
+        post(PlatformAnswered {receive, std::move(response)});
+    });
+}
+
+void ConfigurationTask::sendFrame(const std::string &peer, const Frame &frame)
+{
+    const MemberRecord *member = m_table.find(peer);
+    m_links.sendAnyWay(peer, member != nullptr ? std::optional(member->address) : std::nullopt, frame);
+}
+
+void ConfigurationTask::runDue()
+{
+    run(m_distributor.advance());
+    run(m_reader.advance());
+    run(m_gate.advance());
+    std::vector<std::uint64_t> ids;
+    for (const auto &[id, change] : m_changes) {
+        ids.push_back(id);
+    }
+    for (const std::uint64_t id : ids) {
+        run(id, m_changes.at(id)->committer.advance());
+    }
+    finishTurn();
+}
+
+void ConfigurationTask::finishTurn()
+{
+    updateReaderRole();
+    std::optional<TimePoint> next = earliestDeadline({m_distributor.nextDeadline(), m_reader.nextDeadline(), m_gate.nextDeadline()});
+    for (const auto &[id, change] : m_changes) {
+        next = earliestDeadline({next, change->committer.nextDeadline()});
+    }
+    m_timer.setDeadline(next);
+}
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibProxy/ConfigurationTask.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <LibConfiguration/LibConfiguration.h>
+#include <LibMembership/LibMembership.h>
+#include <LibPlatform/LibPlatform.h>
+#include <LibProxy/Mailbox.h>
+#include <LibProxy/MembershipTask.h>
+#include <LibProxy/OperatorMessages.h>
+#include <LibProxy/PeerLinks.h>
+#include <LibProxy/ProxySettings.h>
+#include <LibProxy/RequestTask.h>
+#include <LibProxy/StatusWanted.h>
+#include <LibProxy/Timer.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace Fuchsiastep {
+
+/// The answer to a call that this task made, and who waits for it.
+struct PlatformAnswered
+{
+    std::function<void(const PlatformResponse &response)> receive;
+    PlatformResponse response;
+};
+
+using ConfigurationTaskMessage = std::variant<PeerFrame,
+                                              PeerVersion,
+                                              MemberChange,
+                                              EndpointsChanged,
+                                              FreezeDetected,
+                                              PlatformAnswered,
+                                              ChangeSubmitted,
+                                              ObjectsWanted,
+                                              AuditWanted,
+                                              RoutesWanted,
+                                              StatusWanted>;
+
+/// The proxy holds this version now.
+struct VersionHeld
+{
+    VersionStamp held;
+};
+
+using ConfigurationTaskEvent = std::variant<ViewChanged, ReadinessChanged, VersionHeld>;
+
+/// Keeps the view current: it owns the configuration in force, the reader of the platform, the distribution between
+/// proxies, the gate that keeps a new proxy from serving too early, and the operators' changes in progress.
+class ConfigurationTask
+{
+public:
+    using EventHandler = std::function<void(ConfigurationTaskEvent event)>;
+
+    ConfigurationTask(const ProxySettings &settings,
+                      const MembershipTable &table,
+                      const Clock &clock,
+                      Random &random,
+                      MetricsRegistry &metrics,
+                      PeerLinks &links,
+                      PlatformClient &platform,
+                      EventHandler onEvent);
+    ~ConfigurationTask();
+
+    /// Starts to look for the newest version.
+    void start();
+
+    void post(ConfigurationTaskMessage message);
+
+private:
+    struct ChangeInProgress;
+
+    void handle(const PeerFrame &frame);
+    void handle(const PeerVersion &version);
+    void handle(const MemberChange &change);
+    void handle(const EndpointsChanged &change);
+    void handle(const FreezeDetected &freeze);
+    void handle(const PlatformAnswered &answered);
+    void handle(const ChangeSubmitted &submitted);
+    void handle(const ObjectsWanted &wanted);
+    void handle(const AuditWanted &wanted);
+    void handle(const RoutesWanted &wanted);
+    void handle(const StatusWanted &wanted);
+
+    void run(std::vector<DistributorOutput> outputs);
+    void run(std::vector<ConfigurationReaderOutput> outputs);
+    void run(std::vector<StartupGateOutput> outputs);
+    void run(std::uint64_t changeId, std::vector<ChangeCommitterOutput> outputs);
+
+    void adopt(const Configuration::Pointer &configuration);
+    void changeView(View::Pointer view);
+    void readHead();
+    void setPlatformReadable(bool isReadable);
+    void updateReaderRole();
+    void finishChange(std::uint64_t changeId, const OperatorReply &reply);
+    void nudgeReaders(ConfigurationVersion version);
+    void callPlatform(PlatformRequest request, std::function<void(const PlatformResponse &response)> receive);
+    void sendFrame(const std::string &peer, const Frame &frame);
+    void runDue();
+    void finishTurn();
+
+    const ProxySettings &m_settings;
+    const MembershipTable &m_table;
+    const Clock &m_clock;
+    Random &m_random;
+    MetricsRegistry &m_metrics;
+    PeerLinks &m_links;
+    PlatformClient &m_platform;
+    EventHandler m_onEvent;
+
+    ConfigurationHolder m_holder;
+    View::Pointer m_view = View::empty();
+    Distributor m_distributor;
+    ConfigurationReader m_reader;
+    StartupGate m_gate;
+    ReaderRole m_role;
+    std::uint64_t m_roleRevision = 0;
+    bool m_isPlatformReadable = true;
+    std::int64_t m_adoptedUnixMs = 0;
+    ConfigurationVersion m_highestVersionSeen = 0;
+
+    std::uint64_t m_nextChangeId = 1;
+    std::map<std::uint64_t, std::unique_ptr<ChangeInProgress>> m_changes;
+
+    Timer m_timer;
+    Mailbox<ConfigurationTaskMessage> m_mailbox;
+};
+
+} // namespace Fuchsiastep
--- a/Libraries/LibProxy/MembershipTask.cpp
+++ b/Libraries/LibProxy/MembershipTask.cpp
@@ -141,7 +141,10 @@
     for (FailureDetectorOutput &output : outputs) {
         std::visit(Overloaded {
                        [this](const SendProbe &probe) { sendProbe(probe); },
-                       [this](const MemberChange &change) { noteChange(change); },
+                       [this](const MemberChange &change) {
+                           noteChange(change);
+                           m_onEvent(change);
+                       },
                        [this](const PeerVersion &version) {
                            m_peerVersions[version.peer] = version.held.version;
                            m_onEvent(version);
--- a/Libraries/LibProxy/MembershipTask.h
+++ b/Libraries/LibProxy/MembershipTask.h
@@ -28,7 +28,7 @@
     std::vector<std::string> removedUpstreamIds;
 };
 
-using MembershipTaskEvent = std::variant<EndpointsChanged, PeerVersion, CrashSuspectLearned, FreezeDetected, JoinCompleted>;
+using MembershipTaskEvent = std::variant<EndpointsChanged, MemberChange, PeerVersion, CrashSuspectLearned, FreezeDetected, JoinCompleted>;
 
 /// Knows the live members: it owns the probe socket, the failure detector, the contacts in the platform's table and
 /// the exchange with other data centres.
--- /dev/null
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -0,0 +1,289 @@
+#include <LibProxy/ProxyRuntime.h>
+
+namespace Fuchsiastep {
+
+/// Time for the leave message to spread before the sockets close.
+static constexpr Duration LeaveTime = std::chrono::milliseconds(300);
+static constexpr Duration IdleCheckInterval = std::chrono::seconds(30);
+
+ProxyRuntime::ProxyRuntime(ProxySettings settings, std::function<void()> onStopped)
+    : m_settings(std::move(settings))
+    , m_onStopped(std::move(onStopped))
+    , m_startedAt(m_clock.now())
+    , m_incarnation(static_cast<std::uint64_t>(m_clock.unixMilliseconds()))
+    , m_drainTimer(m_clock,
+                   [this] {
+                       if (m_hasLeft) {
+                           m_onStopped();
+                       } else {
+                           leave();
+                       }
+                   })
+    , m_idleTimer(m_clock, [this] {
+        m_links->closeIdle();
+        m_idleTimer.setDeadline(m_clock.now() + IdleCheckInterval);
+    })
+{
+}
+
+ProxyRuntime::~ProxyRuntime()
+{
+    // The platform client goes first, so that no answer arrives at a task that is gone.
+    m_platform.reset();
+}
+
+Result<SocketAddress> ProxyRuntime::tryListenPeers()
+{
+    // TCP and UDP share a number. Where the kernel chooses the TCP port, its UDP twin may be taken.
+    constexpr int Attempts = 20;
+    Error lastError;
+    for (int attempt = 0; attempt < Attempts; ++attempt) {
+        m_links = std::make_unique<PeerLinks>(
+            HelloFrame {HelloFrame::CurrentProtocol, m_settings.proxyId, m_incarnation, m_settings.dataCentre},
+            m_clock,
+            m_metrics,
+            [this](PeerLinksEvent event) { handlePeers(std::move(event)); });
+        const Result<Done> listening = m_links->tryListen(m_settings.listen.peers);
+        if (isError(listening)) {
+            return errorOf(listening);
+        }
+        MemberRecord self;
+        self.proxyId = m_settings.proxyId;
+        self.incarnation = m_incarnation;
+        self.sequence = 1;
+        self.address = m_links->address();
+        self.controlAddress = m_operators->address();
+        self.dataCentre = m_settings.dataCentre;
+        self.region = m_settings.region;
+        m_membership = std::make_unique<MembershipTask>(
+            m_settings, std::move(self), m_clock, m_random, m_metrics, *m_links, *m_platform, [this](MembershipTaskEvent event) {
+                handleMembership(std::move(event));
+            });
+        const Result<Done> bound = m_membership->tryBind(m_links->address());
+        if (!isError(bound)) {
+            return m_links->address();
+        }
+        lastError = errorOf(bound);
+    }
+    return lastError;
+}
+
+Result<ProxyAddresses> ProxyRuntime::tryStart()
+{
+    PlatformClientSettings platform;
+    platform.baseUrl = m_settings.platform.url;
+    platform.timeout = m_settings.platform.timeout;
+    m_platform = std::make_unique<PlatformClient>(platform);
+    m_operators = std::make_unique<OperatorTask>(m_clock, m_metrics, [this](OperatorTaskEvent event) { handleOperators(std::move(event)); });
+    const Result<Done> control = m_operators->tryListen(m_settings.listen.control);
+    if (isError(control)) {
+        return errorOf(control);
+    }
+    const Result<SocketAddress> peers = tryListenPeers();
+    if (isError(peers)) {
+        return errorOf(peers);
+    }
+    m_requests = std::make_unique<RequestTask>(
+        m_settings, m_incarnation, m_clock, m_random, m_metrics, *m_links, *m_platform, [this](const RequestTaskEvent &event) {
+            handleRequests(event);
+        });
+    const Result<Done> callers = m_requests->tryListen(m_settings.listen.callers);
+    if (isError(callers)) {
+        return errorOf(callers);
+    }
+    m_configuration = std::make_unique<ConfigurationTask>(
+        m_settings, m_membership->table(), m_clock, m_random, m_metrics, *m_links, *m_platform, [this](const ConfigurationTaskEvent &event) {
+            handleConfiguration(event);
+        });
+    m_membership->start();
+    m_configuration->start();
+    m_idleTimer.setDeadline(m_clock.now() + IdleCheckInterval);
+    return ProxyAddresses {m_requests->address(), m_operators->address(), valueOf(peers)};
+}
+
+void ProxyRuntime::handlePeers(PeerLinksEvent event)
+{
+    auto *received = std::get_if<PeerFrameReceived>(&event);
+    if (received == nullptr) {
+        std::visit([this](const auto &content) { m_requests->post(content); }, event);
+        return;
+    }
+    std::visit(Overloaded {
+                   [&](MembershipSyncFrame &) { m_membership->post(PeerFrame {received->proxyId, std::move(received->frame)}); },
+                   [&](RequestFrame &) { m_requests->post(std::move(*received)); },
+                   [&](AnswerFrame &) { m_requests->post(std::move(*received)); },
+                   [&](AnswerPartFrame &) { m_requests->post(std::move(*received)); },
+                   [&](CancelFrame &) { m_requests->post(std::move(*received)); },
+                   [&](auto &) { m_configuration->post(PeerFrame {received->proxyId, std::move(received->frame)}); },
+               },
+               received->frame);
+}
+
+void ProxyRuntime::handleRequests(const RequestTaskEvent &event)
+{
+    std::visit(Overloaded {
+                   [this](const RequestsDrained &) { leave(); },
+                   [this](const SuspectsChanged &changed) {
+                       for (const CrashSuspectEntry &entry : changed.entries) {
+                           m_membership->post(CrashSuspectRecorded {entry});
+                       }
+                   },
+               },
+               event);
+}
+
+void ProxyRuntime::handleMembership(MembershipTaskEvent event)
+{
+    std::visit(Overloaded {
+                   [this](EndpointsChanged &change) { m_configuration->post(std::move(change)); },
+                   [this](const MemberChange &change) { m_configuration->post(change); },
+                   [this](const PeerVersion &version) { m_configuration->post(version); },
+                   [this](const CrashSuspectLearned &learned) { m_requests->post(SuspectLearned {learned.entry}); },
+                   [this](const FreezeDetected &freeze) { m_configuration->post(freeze); },
+                   [](const JoinCompleted &) {},
+               },
+               event);
+}
+
+void ProxyRuntime::handleConfiguration(const ConfigurationTaskEvent &event)
+{
+    std::visit(Overloaded {
+                   [this](const ViewChanged &change) { m_requests->post(change); },
+                   [this](const ReadinessChanged &change) {
+                       m_isReady = change.isReady;
+                       m_requests->post(change);
+                       m_operators->post(ReadyChanged {m_isReady && !m_isDraining});
+                       publishOwnRecord();
+                   },
+                   [this](const VersionHeld &held) { m_membership->post(HeldVersionChanged {held.held}); },
+               },
+               event);
+}
+
+void ProxyRuntime::handleOperators(OperatorTaskEvent event)
+{
+    std::visit(Overloaded {
+                   [this](const UpstreamAnnouncement &announcement) { announce(announcement); },
+                   [this](const AnnouncementsEnded &) {
+                       logEvent(LogEvent::UpstreamLost, {{"upstream", m_endpoint ? m_endpoint->upstreamId : std::string()}});
+                       m_endpoint.reset();
+                       m_requests->post(UpstreamSilent {});
+                       publishOwnRecord();
+                   },
+                   [this](const DrainWanted &) { drain(); },
+                   [this](const WholeStatusWanted &wanted) { collectStatus(wanted.reply); },
+                   [this](const MembersWanted &wanted) {
+                       m_membership->post(StatusWanted {[reply = wanted.reply](JsonValue::Object part) {
+                           reply({200, JsonValue::Object {{"members", part["members"]}}});
+                       }});
+                   },
+                   [this](auto &request) { m_configuration->post(std::move(request)); },
+               },
+               event);
+}
+
+void ProxyRuntime::announce(const UpstreamAnnouncement &announcement)
+{
+    m_requests->post(announcement);
+    const bool isRestarted = announcement.ageMs < m_lastUpstreamAgeMs;
+    m_lastUpstreamAgeMs = announcement.ageMs;
+
+    Endpoint endpoint;
+    endpoint.upstreamId = announcement.upstreamId;
+    endpoint.service = announcement.service;
+    endpoint.proxyId = m_settings.proxyId;
+    endpoint.incarnation = m_incarnation;
+    endpoint.dataCentre = m_settings.dataCentre;
+    endpoint.region = m_settings.region;
+    endpoint.proxyAddress = m_links->address();
+    endpoint.labels = announcement.labels;
+    endpoint.slots = announcement.slots;
+    endpoint.isDraining = announcement.isDraining;
+    // The age is told once for each process of the upstream; told with each announcement it would be a change each time.
+    endpoint.ageMsWhenSeen = m_endpoint && !isRestarted ? m_endpoint->ageMsWhenSeen : announcement.ageMs;
+    if (m_endpoint == endpoint) {
+        return;
+    }
+    if (!m_endpoint || isRestarted) {
+        logEvent(LogEvent::UpstreamAnnounced,
+                 {{"upstream", endpoint.upstreamId}, {"service", endpoint.service}, {"address", announcement.address.toString()}});
+    }
+    m_endpoint = std::move(endpoint);
+    publishOwnRecord();
+}
+
+void ProxyRuntime::publishOwnRecord()
+{
+    MemberState state = m_isReady ? MemberState::Serving : MemberState::Joining;
+    if (m_isDraining) {
+        state = MemberState::Draining;
+    }
+    if (!m_hasLeft) {
+        m_membership->post(OwnRecordChanged {state, m_endpoint});
+    }
+}
+
+void ProxyRuntime::collectStatus(const OperatorReplyHandler &reply)
+{
+    // Each task replies in its own turn; the last reply completes the status.
+    struct Collection
+    {
+        JsonValue::Object status;
+        int missing = 3;
+    };
+    auto collection = std::make_shared<Collection>();
+    const ProcessUsage usage = ProcessUsage::current();
+    const auto counter = [this](std::string_view name, std::string_view path) { return m_metrics.counter(name, path); };
+    collection->status = {
+        {"proxy", m_settings.proxyId},
+        {"data_centre", m_settings.dataCentre},
+        {"region", m_settings.region},
+        {"incarnation", m_incarnation},
+        {"control_bytes_sent",
+         counter("fuchsiastep_control_bytes_total", "path=\"tcp\"") + counter("fuchsiastep_control_bytes_total", "path=\"udp\"")},
+        {"control_messages_sent",
+         counter("fuchsiastep_control_messages_total", "path=\"tcp\"") + counter("fuchsiastep_control_messages_total", "path=\"udp\"")},
+        {"processor_ms", static_cast<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(usage.processorTime).count())},
+        {"resident_bytes", usage.residentBytes},
+        {"uptime_ms", static_cast<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_startedAt).count())},
+    };
+    const auto receive = [collection, reply](JsonValue::Object part) {
+        const auto members = part.find("members");
+        if (members != part.end()) {
+            members->second = static_cast<std::uint64_t>(std::get<JsonValue::Array>(members->second.content).size());
+        }
+        collection->status.merge(part);
+        if (--collection->missing == 0) {
+            reply({200, collection->status});
+        }
+    };
+    m_membership->post(StatusWanted {receive});
+    m_configuration->post(StatusWanted {receive});
+    m_requests->post(StatusWanted {receive});
+}
+
+void ProxyRuntime::drain()
+{
+    if (m_isDraining) {
+        return;
+    }
+    logEvent(LogEvent::DrainStarted);
+    m_isDraining = true;
+    m_operators->post(ReadyChanged {false});
+    m_requests->post(DrainStarted {});
+    publishOwnRecord();
+    m_drainTimer.setDeadline(m_clock.now() + m_settings.limits.drainTime);
+}
+
+void ProxyRuntime::leave()
+{
+    if (m_hasLeft) {
+        return;
+    }
+    logEvent(LogEvent::DrainFinished);
+    m_hasLeft = true;
+    m_membership->post(LeaveRequested {});
+    m_drainTimer.setDeadline(m_clock.now() + LeaveTime);
+}
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibProxy/ProxyRuntime.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <LibProxy/ConfigurationTask.h>
+#include <LibProxy/MembershipTask.h>
+#include <LibProxy/OperatorTask.h>
+#include <LibProxy/PeerLinks.h>
+#include <LibProxy/ProxySettings.h>
+#include <LibProxy/RequestTask.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace Fuchsiastep {
+
+/// Where a running proxy listens.
+struct ProxyAddresses
+{
+    SocketAddress callers;
+    SocketAddress control;
+    SocketAddress peers;
+};
+
+/// One proxy: it makes the tasks, carries messages between them, and runs on the default main context of GLib.
+class ProxyRuntime
+{
+public:
+    /// \a onStopped is called once, when a drain is complete or took too long.
+    ProxyRuntime(ProxySettings settings, std::function<void()> onStopped);
+    ~ProxyRuntime();
+
+    /// Opens every listener and joins the fleet. Fails with ListenFailed.
+    Result<ProxyAddresses> tryStart();
+
+    /// Refuses new work, finishes what runs, leaves the fleet and stops.
+    void drain();
+
+private:
+    void handlePeers(PeerLinksEvent event);
+    void handleRequests(const RequestTaskEvent &event);
+    void handleMembership(MembershipTaskEvent event);
+    void handleConfiguration(const ConfigurationTaskEvent &event);
+    void handleOperators(OperatorTaskEvent event);
+
+    void announce(const UpstreamAnnouncement &announcement);
+    void publishOwnRecord();
+    void collectStatus(const OperatorReplyHandler &reply);
+    void leave();
+    Result<SocketAddress> tryListenPeers();
+
+    ProxySettings m_settings;
+    std::function<void()> m_onStopped;
+    Clock m_clock = Clock::system();
+    Random m_random = Random::fromSystem();
+    MetricsRegistry m_metrics;
+    TimePoint m_startedAt;
+    std::uint64_t m_incarnation;
+    bool m_isReady = false;
+    bool m_isDraining = false;
+    bool m_hasLeft = false;
+    /// What membership was told about the upstream beside this proxy.
+    std::optional<Endpoint> m_endpoint;
+    std::uint32_t m_lastUpstreamAgeMs = 0;
+
+    std::unique_ptr<PlatformClient> m_platform;
+    std::unique_ptr<PeerLinks> m_links;
+    std::unique_ptr<MembershipTask> m_membership;
+    std::unique_ptr<ConfigurationTask> m_configuration;
+    std::unique_ptr<RequestTask> m_requests;
+    std::unique_ptr<OperatorTask> m_operators;
+    Timer m_drainTimer;
+    Timer m_idleTimer;
+};
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Services/fuchsiastepd/main.cpp
@@ -0,0 +1,81 @@
+#include <LibCore/LibCore.h>
+#include <LibProxy/LibProxy.h>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+
+#include <glib-unix.h>
+
+#include <iostream>
+
+using namespace Fuchsiastep;
+
+ABSL_FLAG(std::string, settings, "", "path of the settings file in JSON; required");
+ABSL_FLAG(bool, check, false, "check the settings and exit");
+
+namespace {
+
+constexpr int ExitFailure = 1;
+constexpr int ExitUsage = 2;
+
+gboolean drainOnSignal(gpointer runtime)
+{
+    static_cast<ProxyRuntime *>(runtime)->drain();
+    return G_SOURCE_CONTINUE;
+}
+
+int runProxy(const ProxySettings &settings)
+{
+    GMainLoop *loop = g_main_loop_new(nullptr, FALSE);
+    int exitCode = 0;
+    {
+        ProxyRuntime runtime(settings, [loop] { g_main_loop_quit(loop); });
+        const Result<ProxyAddresses> addresses = runtime.tryStart();
+        if (isError(addresses)) {
+            std::cerr << describe(errorOf(addresses)) << '\n';
+            exitCode = ExitFailure;
+        } else {
+            g_unix_signal_add(SIGTERM, &drainOnSignal, &runtime);
+            g_unix_signal_add(SIGINT, &drainOnSignal, &runtime);
+            const auto &[callers, control, peers] = valueOf(addresses);
+            logEvent(LogEvent::ProgramStarted, {{"proxy", settings.proxyId}, {"version", FUCHSIASTEP_VERSION}});
+            std::cout << "listening callers " << callers.toString() << " control " << control.toString() << " peers " << peers.toString()
+                      << std::endl;
+            g_main_loop_run(loop);
+            logEvent(LogEvent::ProgramStopped, {{"proxy", settings.proxyId}});
+        }
+    }
+    g_main_loop_unref(loop);
+    return exitCode;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("The proxy of fuchsiastep, one beside each upstream.\nusage: fuchsiastepd --settings FILE [--check]");
+    absl::FlagsUsageConfig usage;
+    usage.version_string = [] { return std::string("fuchsiastepd " FUCHSIASTEP_VERSION "\n"); };
+    absl::SetFlagsUsageConfig(usage);
+    const std::vector<char *> rest = absl::ParseCommandLine(argc, argv);
+    if (rest.size() > 1 || absl::GetFlag(FLAGS_settings).empty()) {
+        std::cerr << describe({ErrorCode::CommandLineInvalid, "usage: fuchsiastepd --settings FILE [--check]"}) << '\n';
+        return ExitUsage;
+    }
+    std::vector<Error> errors;
+    const Result<ProxySettings> settings = ProxySettings::tryLoad(absl::GetFlag(FLAGS_settings), errors);
+    for (const Error &error : errors) {
+        std::cerr << describe(error) << '\n';
+    }
+    if (isError(settings)) {
+        return ExitUsage;
+    }
+    if (absl::GetFlag(FLAGS_check)) {
+        std::cout << "settings are valid\n";
+        return 0;
+    }
+    startLogging(valueOf(settings).logLevel);
+    return runProxy(valueOf(settings));
+}
