Tell the caller side only of connections that carry its requests

Cause: a call was tried twice without a failed try. Membership opens connections to an address before it knows the proxy there; the coordinator was told of such a connection, and took the later one for a reconnect on which its request was lost. Ruled out: a refusal by the upstream side (event 6012, new here, shows none). Change: PeerLinks marks the connections that sendTo() uses.

--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -59,6 +59,7 @@
     LateAnswerDropped = 6009,
     ClaimSettled = 6010,
     HttpRequestRejected = 6011,
+    TryFailed = 6012,
 
     OperatorRequestRejected = 7000,
 };
--- a/Libraries/LibProxy/OperatorChangeParser.cpp
+++ b/Libraries/LibProxy/OperatorChangeParser.cpp
@@ -1,5 +1,7 @@
 #include <LibProxy/OperatorChangeParser.h>
 
+#include <LibCore/LibCore.h>
+
 #include <limits>
 
 namespace Fuchsiastep {
--- a/Libraries/LibProxy/PeerLinks.cpp
+++ b/Libraries/LibProxy/PeerLinks.cpp
@@ -20,6 +20,12 @@
     SocketAddress address;
     TimePoint lastUsed;
     std::unique_ptr<PeerConnection> connection;
+
+    /// A connection that was opened to an address, before the proxy there was known, is never used by sendTo().
+    bool carriesRequests() const
+    {
+        return isOutgoing && outgoingKey == proxyId;
+    }
 };
 
 static bool isControlFrame(const Frame &frame)
@@ -192,7 +198,7 @@
             m_incoming[link.proxyId] = connectionId;
         }
         logEvent(LogEvent::PeerConnected, {{"peer", hello->proxyId}, {"connection", connectionId}});
-        m_onEvent(PeerLinkEstablished {connectionId, link.proxyId, link.incarnation, link.isOutgoing});
+        m_onEvent(PeerLinkEstablished {connectionId, link.proxyId, link.incarnation, link.carriesRequests()});
         return;
     }
     if (!link.isEstablished) {
@@ -223,7 +229,7 @@
     const bool isNormal = error.code == ErrorCode::ConnectionClosed || error.code == ErrorCode::ConnectionRefused;
     logEvent(isNormal ? LogEvent::PeerDisconnected : LogEvent::FrameRejected,
         {{"peer", link->proxyId}, {"connection", connectionId}, {"error", describe(error)}});
-    m_onEvent(PeerConnectionClosed {connectionId, link->proxyId, error.code == ErrorCode::ConnectionRefused, link->isOutgoing});
+    m_onEvent(PeerConnectionClosed {connectionId, link->proxyId, error.code == ErrorCode::ConnectionRefused, link->carriesRequests()});
 }
 
 void PeerLinks::closeIdle()
--- a/Libraries/LibProxy/PeerLinks.h
+++ b/Libraries/LibProxy/PeerLinks.h
@@ -19,7 +19,8 @@
     std::uint64_t connectionId = 0;
     std::string proxyId;
     std::uint64_t incarnation = 0;
-    bool isOutgoing = false;
+    /// sendTo() uses this connection.
+    bool carriesRequests = false;
 };
 
 /// A frame from a peer. Answers to it go back by \a connectionId.
@@ -38,7 +39,8 @@
     std::string proxyId;
     /// TCP never connected, so that certainly nothing sent on it arrived.
     bool neverConnected = false;
-    bool isOutgoing = false;
+    /// sendTo() used this connection.
+    bool carriesRequests = false;
 };
 
 using PeerLinksEvent = std::variant<PeerLinkEstablished, PeerFrameReceived, PeerConnectionClosed>;
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -163,16 +163,16 @@
 void ProxyRuntime::handleOperators(OperatorTaskEvent event)
 {
     std::visit(Overloaded {
-                   [this](const UpstreamAnnouncement &announcement) { announce(announcement); },
-                   [this](const AnnouncementsEnded &) {
+                   [this](UpstreamAnnouncement &announcement) { announce(announcement); },
+                   [this](AnnouncementsEnded &) {
                        logEvent(LogEvent::UpstreamLost, {{"upstream", m_endpoint ? m_endpoint->upstreamId : std::string()}});
                        m_endpoint.reset();
                        m_requests->post(UpstreamSilent {});
                        publishOwnRecord();
                    },
-                   [this](const DrainWanted &) { drain(); },
-                   [this](const WholeStatusWanted &wanted) { collectStatus(wanted.reply); },
-                   [this](const MembersWanted &wanted) {
+                   [this](DrainWanted &) { drain(); },
+                   [this](WholeStatusWanted &wanted) { collectStatus(wanted.reply); },
+                   [this](MembersWanted &wanted) {
                        m_membership->post(StatusWanted {[reply = wanted.reply](JsonValue::Object part) {
                            reply({200, JsonValue::Object {{"members", part["members"]}}});
                        }});
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -116,7 +116,7 @@
 
 void RequestTask::handle(const PeerLinkEstablished &established)
 {
-    if (established.isOutgoing) {
+    if (established.carriesRequests) {
         run(m_coordinator.handle(PeerConnected {established.proxyId, established.connectionId, established.incarnation}));
     }
 }
@@ -127,6 +127,9 @@
                    [&](const RequestFrame &frame) { run(m_gate.handle(PeerRequest {received.connectionId, frame})); },
                    [&](const CancelFrame &frame) { run(m_gate.handle(PeerCancel {received.connectionId, frame.requestId})); },
                    [&](const AnswerFrame &frame) {
+                       if (frame.outcome != RequestOutcome::Answered) {
+                           logEvent(LogEvent::TryFailed, {{"peer", received.proxyId}, {"error", describe({frame.code, frame.detail})}});
+                       }
                        run(m_coordinator.handle(PeerAnswer {received.proxyId, received.connectionId, received.incarnation, frame}));
                    },
                    [&](const AnswerPartFrame &frame) {
@@ -139,7 +142,7 @@
 
 void RequestTask::handle(const PeerConnectionClosed &closed)
 {
-    if (!closed.isOutgoing) {
+    if (!closed.carriesRequests) {
         run(m_gate.handle(PeerDisconnected {closed.connectionId}));
     } else if (closed.neverConnected) {
         run(m_coordinator.handle(PeerConnectFailed {closed.proxyId}));
