--- a/Libraries/LibCore/LibCore.h
+++ b/Libraries/LibCore/LibCore.h
@@ -9,6 +9,7 @@
 #include <LibCore/FlagNames.h>
 #include <LibCore/JsonObjectReader.h>
 #include <LibCore/JsonValue.h>
+#include <LibCore/ListeningSocket.h>
 #include <LibCore/LogEvent.h>
 #include <LibCore/Logger.h>
 #include <LibCore/MetricsRegistry.h>
--- a/Services/upstream-stand-in/UpstreamHttpServer.cpp
+++ b/Services/upstream-stand-in/UpstreamHttpServer.cpp
@@ -50,17 +50,16 @@
 
 Result<SocketAddress> UpstreamHttpServer::tryListen(const SocketAddress &address)
 {
-    g_autoptr(GSocketAddress) wanted = g_inet_socket_address_new_from_string(address.ip.c_str(), address.port);
-    g_autoptr(GError) error = nullptr;
-    if (wanted == nullptr || !soup_server_listen(m_server, wanted, SoupServerListenOptions(0), &error)) {
-        return Error {ErrorCode::ListenFailed, address.toString() + ": " + (error != nullptr ? error->message : "not an IP address")};
-    }
     SocketAddress used = address;
-    GSList *uris = soup_server_get_uris(m_server);
-    if (uris != nullptr) {
-        used.port = static_cast<std::uint16_t>(g_uri_get_port(static_cast<GUri *>(uris->data)));
+    const Result<GSocket *> opened = tryOpenListeningSocket(used);
+    if (isError(opened)) {
+        return errorOf(opened);
+    }
+    g_autoptr(GSocket) socket = valueOf(opened);
+    g_autoptr(GError) error = nullptr;
+    if (!soup_server_listen_socket(m_server, socket, SoupServerListenOptions(0), &error)) {
+        return Error {ErrorCode::ListenFailed, address.toString() + ": " + error->message};
     }
-    g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(g_uri_unref));
     return used;
 }
 
