--- a/Utilities/fuchsiaload/LoadRunner.cpp
+++ b/Utilities/fuchsiaload/LoadRunner.cpp
@@ -8,7 +8,8 @@
 
 /// Time beyond the deadline after which a request is given up here; the proxy should have answered before.
 static constexpr Duration AnswerGrace = std::chrono::seconds(1);
-static constexpr guint TickMs = 1;
+/// Interval of the check whether the duration is over.
+static constexpr guint TickMs = 20;
 /// In an open loop, at most this many requests wait for a place in flight. Later ones are never sent.
 static constexpr std::size_t MaximumArrivals = 100'000;
 
@@ -94,6 +95,7 @@
         if (m_settings.rate > 0) {
             due = m_startedAt + Duration(static_cast<Duration::rep>(static_cast<double>(m_planned) * 1e6 / m_settings.rate));
             if (due > now) {
+                m_dueTimer.start(due - now);
                 return;
             }
         } else if (m_inFlight + m_arrivals.size() >= m_settings.concurrency) {
--- a/Utilities/fuchsiaload/LoadRunner.h
+++ b/Utilities/fuchsiaload/LoadRunner.h
@@ -3,6 +3,7 @@
 #include "AnswerChecker.h"
 #include "LoadSettings.h"
 #include "LoadSummary.h"
+#include "PreciseTimer.h"
 #include "RequestPlanner.h"
 
 #include <libsoup/soup.h>
@@ -54,6 +55,10 @@
     LoadSummary m_summary;
     SoupSession *m_session = nullptr;
     GMainLoop *m_loop = nullptr;
+    /// Fires when the next request of an open loop is due.
+    PreciseTimer m_dueTimer {[this] {
+        pump();
+    }};
     std::deque<Arrival> m_arrivals;
     std::uint64_t m_planned = 0;
     std::uint64_t m_ended = 0;
