Give the client tests timeouts that a busy machine does not meet

Cause: every loopback test ran with a timeout of 150 ms, which a stalled machine could exceed without an injected fault. Change: 10 s by default; 250 and 400 ms only where the timeout is tested, with delays of twice that.

--- a/Tests/LibPlatform/TestPlatformClient.cpp
+++ b/Tests/LibPlatform/TestPlatformClient.cpp
@@ -20,7 +20,8 @@
         const Result<SocketAddress> address = service.tryListen({"127.0.0.1", 0});
         CPPUNIT_ASSERT(!isError(address));
         settings.baseUrl = "http://" + valueOf(address).toString();
-        settings.timeout = std::chrono::milliseconds(150);
+        // Long enough that a busy machine causes no timeout; tests of timeouts set their own.
+        settings.timeout = std::chrono::seconds(10);
     }
 };
 
@@ -131,9 +132,9 @@
         PlatformFaultSettings down;
         down.isDown = true;
         PlatformFaultSettings slow;
-        slow.delay = std::chrono::milliseconds(300);
+        slow.delay = std::chrono::milliseconds(500);
         PlatformFaultSettings slowAnswer;
-        slowAnswer.answerDelay = std::chrono::milliseconds(300);
+        slowAnswer.answerDelay = std::chrono::milliseconds(500);
         PlatformFaultSettings lostAnswer;
         lostAnswer.lostAnswerProbability = 1;
         PlatformFaultSettings lostRequest;
@@ -150,6 +151,9 @@
         for (const bool isWarm : {false, true}) {
             for (const Case &item : cases) {
                 LoopbackPlatform platform;
+                if (item.faults.delay + item.faults.answerDelay > Duration(0)) {
+                    platform.settings.timeout = std::chrono::milliseconds(250);
+                }
                 PlatformClient client(platform.settings);
                 if (isWarm) {
                     CPPUNIT_ASSERT(codeOf(call(client, ReadRows {{"x"}})) == ErrorCode::None);
@@ -242,7 +246,8 @@
         platform.settings.maximumConcurrency = 1;
         platform.settings.maximumWaiting = 2;
         PlatformFaultSettings slow;
-        slow.delay = std::chrono::milliseconds(400);
+        slow.delay = std::chrono::milliseconds(800);
+        platform.settings.timeout = std::chrono::milliseconds(400);
         platform.faults.setSettings(slow);
         PlatformClient client(platform.settings);
         std::vector<ErrorCode> codes;
@@ -262,7 +267,6 @@
     void testConcurrentCallsGetTheirOwnAnswers()
     {
         LoopbackPlatform platform;
-        platform.settings.timeout = std::chrono::seconds(10);
         PlatformClient client(platform.settings);
         int answered = 0;
         for (int i = 0; i < 300; ++i) {
