Test the sockets and settings of the proxy and fix what the tests found

HttpServer gave paths decoded, so that an escaped '/' or '?' became another resource at the upstream; it now keeps them as they were sent. It never noticed that a client closed, because libsoup does not look at a paused connection; it now watches the socket. Its listening queue held 10 connections; it now holds 1024. PeerConnection reported no failure for an address that is no IP number, and reported one that the system refused at once as closed instead of never connected; both are now ConnectionRefused, told from the main loop.

--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -12,13 +12,66 @@
     HttpServer *server = nullptr;
     std::uint64_t token = 0;
     SoupServerMessage *message = nullptr;
+    /// Tells when the client closes. libsoup does not look at the connection of a paused message.
+    GSource *watch = nullptr;
     bool isAnswered = false;
+
+    ~Exchange()
+    {
+        stopWatching();
+        g_signal_handlers_disconnect_by_data(message, this);
+        g_object_unref(message);
+    }
+
+    void startWatching()
+    {
+        GSocket *socket = soup_server_message_get_socket(message);
+        if (socket == nullptr) {
+            return;
+        }
+        watch = g_socket_create_source(socket, G_IO_IN, nullptr);
+        const GSocketSourceFunc onReadable = [](GSocket *readable, GIOCondition, gpointer data) -> gboolean {
+            auto *self = static_cast<Exchange *>(data);
+            if (isClosed(readable)) {
+                self->server->abandon(self->token);
+            } else {
+                // The client sent its next request already; it stays in the socket until this one is answered.
+                self->stopWatching();
+            }
+            return G_SOURCE_REMOVE;
+        };
+        g_source_set_callback(watch, G_SOURCE_FUNC(onReadable), this, nullptr);
+        g_source_attach(watch, nullptr);
+    }
+
+    void stopWatching()
+    {
+        if (watch != nullptr) {
+            g_source_destroy(watch);
+            g_source_unref(watch);
+            watch = nullptr;
+        }
+    }
+
+private:
+    static bool isClosed(GSocket *socket)
+    {
+        char byte = 0;
+        GInputVector vector {&byte, 1};
+        gint flags = G_SOCKET_MSG_PEEK;
+        GError *error = nullptr;
+        const gssize count = g_socket_receive_message(socket, nullptr, &vector, 1, nullptr, nullptr, &flags, nullptr, &error);
+        const bool isBroken = error != nullptr && !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+        g_clear_error(&error);
+        return count == 0 || isBroken;
+    }
 };
 
 HttpServer::HttpServer(std::uint64_t maximumBodyBytes, EventHandler onEvent)
     : m_maximumBodyBytes(maximumBodyBytes)
     , m_onEvent(std::move(onEvent))
-    , m_server(soup_server_new("server-header", "fuchsiastep", nullptr))
+    // Paths stay escaped: a decoded '/' or '?' would name another resource of the upstream.
+    , m_server(soup_server_new("server-header", "fuchsiastep", "raw-paths", TRUE, nullptr))
 {
     soup_server_add_early_handler(m_server, nullptr, &HttpServer::handleHeaders, this, nullptr);
     soup_server_add_handler(m_server, nullptr, &HttpServer::handleRequest, this, nullptr);
@@ -26,10 +79,7 @@
 
 HttpServer::~HttpServer()
 {
-    for (auto &[token, exchange] : m_exchanges) {
-        g_signal_handlers_disconnect_by_data(exchange->message, exchange.get());
-        g_object_unref(exchange->message);
-    }
+    m_exchanges.clear();
     soup_server_disconnect(m_server);
     g_object_unref(m_server);
 }
@@ -100,6 +150,7 @@
     g_signal_connect(message, "disconnected", G_CALLBACK(onEnd), exchange.get());
     m_exchanges[request.token] = std::move(exchange);
     soup_server_message_pause(message);
+    m_exchanges[request.token]->startWatching();
     m_onEvent(std::move(request));
 }
 
@@ -110,6 +161,7 @@
         return;
     }
     found->second->isAnswered = true;
+    found->second->stopWatching();
     SoupServerMessage *message = found->second->message;
     SoupMessageHeaders *headers = soup_server_message_get_response_headers(message);
     writeHeaders(headers, answer.headers);
@@ -119,6 +171,20 @@
     soup_server_message_unpause(message);
 }
 
+void HttpServer::abandon(std::uint64_t token)
+{
+    const auto found = m_exchanges.find(token);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    // libsoup frees the connection when the write of an answer fails.
+    SoupServerMessage *message = SOUP_SERVER_MESSAGE(g_object_ref(found->second->message));
+    finish(token);
+    soup_server_message_set_status(message, errorCodeInfo(ErrorCode::Cancelled).httpStatus, nullptr);
+    soup_server_message_unpause(message);
+    g_object_unref(message);
+}
+
 void HttpServer::finish(std::uint64_t token)
 {
     const auto found = m_exchanges.find(token);
@@ -127,8 +193,6 @@
     }
     const std::unique_ptr<Exchange> exchange = std::move(found->second);
     m_exchanges.erase(found);
-    g_signal_handlers_disconnect_by_data(exchange->message, exchange.get());
-    g_object_unref(exchange->message);
     if (!exchange->isAnswered) {
         m_onEvent(HttpRequestAbandoned {token});
     }
--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -70,6 +70,7 @@
     static void handleHeaders(SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data);
     static void handleRequest(SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data);
     void receive(SoupServerMessage *message, const char *path);
+    void abandon(std::uint64_t token);
     void finish(std::uint64_t token);
 
     std::uint64_t m_maximumBodyBytes;
--- a/Libraries/LibProxy/SoupSupport.cpp
+++ b/Libraries/LibProxy/SoupSupport.cpp
@@ -1,5 +1,7 @@
 #include <LibProxy/SoupSupport.h>
 
+#include <LibWire/BoundSocket.h>
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -8,25 +10,24 @@
 
 Result<SocketAddress> tryListenHttp(SoupServer *server, const SocketAddress &address)
 {
-    GSocketAddress *wanted = g_inet_socket_address_new_from_string(address.ip.c_str(), address.port);
-    if (wanted == nullptr) {
-        return Error {ErrorCode::ListenFailed, address.toString() + ": not an IP address"};
+    constexpr int Backlog = 1024; // The default of 10 drops connections when callers come back all at once.
+    SocketAddress listening = address;
+    const Result<GSocket *> bound = tryBindSocket(listening, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP);
+    if (isError(bound)) {
+        return errorOf(bound);
     }
+    GSocket *socket = valueOf(bound);
+    g_socket_set_listen_backlog(socket, Backlog);
     GError *error = nullptr;
-    const bool isListening = soup_server_listen(server, wanted, static_cast<SoupServerListenOptions>(0), &error) != FALSE;
-    g_object_unref(wanted);
+    const bool isListening = g_socket_listen(socket, &error) != FALSE
+        && soup_server_listen_socket(server, socket, static_cast<SoupServerListenOptions>(0), &error) != FALSE;
+    g_object_unref(socket);
     if (!isListening) {
         Error failed {ErrorCode::ListenFailed, address.toString() + ": " + error->message};
         g_error_free(error);
         return failed;
     }
-    SocketAddress result = address;
-    GSList *uris = soup_server_get_uris(server);
-    if (uris != nullptr) {
-        result.port = static_cast<std::uint16_t>(g_uri_get_port(static_cast<GUri *>(uris->data)));
-    }
-    g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(g_uri_unref));
-    return result;
+    return listening;
 }
 
 static bool belongsToConnection(std::string_view name)
--- a/Libraries/LibWire/PeerConnection.cpp
+++ b/Libraries/LibWire/PeerConnection.cpp
@@ -47,9 +47,6 @@
 
     void fail(const Error &error)
     {
-        if (socket == nullptr) {
-            return;
-        }
         release();
         const ClosedHandler handler = std::move(onClosed);
         onClosed = nullptr;
@@ -90,6 +87,20 @@
         });
     }
 
+    /// Tells a failure to the owner from the main loop.
+    void failLater(Error error)
+    {
+        auto *later = new std::function<void()>([self = shared_from_this(), error = std::move(error)] { self->fail(error); });
+        g_idle_add_full(
+            G_PRIORITY_DEFAULT,
+            [](gpointer data) -> gboolean {
+                (*static_cast<std::function<void()> *>(data))();
+                return G_SOURCE_REMOVE;
+            },
+            later,
+            [](gpointer data) { delete static_cast<std::function<void()> *>(data); });
+    }
+
     void handleWritable()
     {
         if (isConnecting) {
@@ -202,12 +213,19 @@
     if (address != nullptr) {
         state->socket = g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error);
     }
+    bool isStarted = false;
     if (state->socket != nullptr) {
         configure(state->socket);
         state->isConnecting = true;
-        g_socket_connect(state->socket, address, nullptr, &error);
-        // A failure shows when the socket becomes writable, so that the owner is never called back from here.
+        isStarted = g_socket_connect(state->socket, address, nullptr, &error) || g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING);
+    }
+    // A failure is told from the main loop, so that the owner is never called back from here.
+    if (isStarted) {
         state->watchWrites();
+    } else {
+        state->release();
+        state->failLater(
+            {ErrorCode::ConnectionRefused, remote.toString() + ": " + (error != nullptr ? error->message : "not an IP address")});
     }
     g_clear_error(&error);
     g_clear_object(&address);
--- /dev/null
+++ b/Tests/LibProxy/TestPeerLinks.cpp
@@ -0,0 +1,175 @@
+#include <LibProxy/PeerLinks.h>
+
+#include <Support/RawClient.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+namespace Fuchsiastep {
+
+class TestPeerLinks : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestPeerLinks);
+    CPPUNIT_TEST(testFramesArriveInOrder);
+    CPPUNIT_TEST(testHostileBytesCloseOnlyTheirConnection);
+    CPPUNIT_TEST(testConnectionThatNeverOpenedIsReported);
+    CPPUNIT_TEST(testPeerAtAnotherAddress);
+    CPPUNIT_TEST(testIdleConnectionsAreClosed);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// One proxy with its links.
+    struct Peer
+    {
+        explicit Peer(const std::string &proxyId)
+            : links({HelloFrame::CurrentProtocol, proxyId, 1, "gatton"}, clock, metrics, [this](PeerLinksEvent event) {
+                std::visit(Overloaded {
+                               [this](PeerFrameReceived &frame) { frames.push_back(std::move(frame)); },
+                               [this](const PeerConnectionClosed &loss) { closed.push_back(loss); },
+                           },
+                    event);
+            })
+        {
+            CPPUNIT_ASSERT(!isError(links.tryListen({"127.0.0.1", 0})));
+        }
+
+        Clock clock = Clock::manual();
+        MetricsRegistry metrics;
+        std::vector<PeerFrameReceived> frames;
+        std::vector<PeerConnectionClosed> closed;
+        PeerLinks links;
+    };
+
+    /// An address at which nothing listens.
+    static SocketAddress closedAddress()
+    {
+        const Peer listener("closed");
+        return listener.links.address();
+    }
+
+    // Guards against frames that are lost, reordered or given to the wrong peer.
+    void testFramesArriveInOrder()
+    {
+        constexpr std::uint64_t Frames = 500;
+        Peer first("p-1");
+        Peer second("p-2");
+        for (std::uint64_t version = 1; version <= Frames; ++version) {
+            first.links.sendTo("p-2", second.links.address(), VersionNudgeFrame {version});
+        }
+        CPPUNIT_ASSERT(runUntil([&second] { return second.frames.size() == Frames; }));
+        for (std::uint64_t index = 0; index < Frames; ++index) {
+            CPPUNIT_ASSERT_EQUAL(std::string("p-1"), second.frames[index].proxyId);
+            CPPUNIT_ASSERT_EQUAL(index + 1, std::get<VersionNudgeFrame>(second.frames[index].frame).version);
+        }
+        second.links.sendOn(second.frames.front().connectionId, VersionNudgeFrame {7});
+        second.links.sendOn(999, VersionNudgeFrame {8});
+        CPPUNIT_ASSERT(runUntil([&first] { return first.frames.size() == 1; }));
+        CPPUNIT_ASSERT_EQUAL(std::string("p-2"), first.frames.front().proxyId);
+        CPPUNIT_ASSERT(first.closed.empty() && second.closed.empty());
+    }
+
+    // Guards against bytes that crash a proxy, reach its tasks or close the connections of other peers.
+    void testHostileBytesCloseOnlyTheirConnection()
+    {
+        struct Case
+        {
+            std::string name;
+            std::string bytes;
+        };
+        const std::string hello = encodeFrame(HelloFrame {HelloFrame::CurrentProtocol, "p-9", 1, "gatton"});
+        const std::vector<Case> cases {
+            {"first frame is not Hello", encodeFrame(VersionNudgeFrame {4})},
+            {"other protocol", encodeFrame(HelloFrame {HelloFrame::CurrentProtocol + 1, "p-9", 1, "gatton"})},
+            {"garbage", std::string("\0\0\0\4\xc1\xc1\xc1\xc1", 8)},
+            {"text of another protocol", "GET / HTTP/1.1\r\n\r\n"},
+            {"frame too long", std::string("\x7f\xff\xff\xff", 4)},
+            {"one byte above the limit", std::string("\0\x10\0\1", 4)},
+            {"empty body", std::string("\0\0\0\0", 4)},
+            {"garbage behind Hello", hello + std::string("\0\0\0\1\xc1", 5)},
+            {"unknown type behind Hello", hello + std::string("\0\0\0\2\x91\x7f", 6)},
+        };
+        Peer first("p-1");
+        Peer second("p-2");
+        std::uint64_t sent = 0;
+        for (const Case &item : cases) {
+            const std::size_t closedBefore = second.closed.size();
+            RawClient hostile(second.links.address());
+            hostile.send(item.bytes);
+            CPPUNIT_ASSERT_MESSAGE(item.name, hostile.waitForClose());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, closedBefore + 1, second.closed.size());
+            CPPUNIT_ASSERT_MESSAGE(item.name, !second.closed.back().isOutgoing && !second.closed.back().neverConnected);
+            first.links.sendTo("p-2", second.links.address(), VersionNudgeFrame {++sent});
+            CPPUNIT_ASSERT_MESSAGE(item.name, runUntil([&second, sent] { return second.frames.size() == sent; }));
+        }
+        CPPUNIT_ASSERT(first.closed.empty());
+        for (const PeerFrameReceived &frame : second.frames) {
+            CPPUNIT_ASSERT_EQUAL(std::string("p-1"), frame.proxyId);
+        }
+    }
+
+    // Guards against requests that are reported as unknown, or never, although no byte can have left (invariant I5).
+    void testConnectionThatNeverOpenedIsReported()
+    {
+        struct Case
+        {
+            std::string name;
+            SocketAddress address;
+        };
+        const std::vector<Case> cases {
+            {"nothing listens", closedAddress()},
+            {"the system refuses at once", {"127.255.255.255", 9}},
+            {"not an IP address", {"order-desk-3", 9}},
+        };
+        for (const Case &item : cases) {
+            Peer peer("p-1");
+            const std::uint64_t id = peer.links.sendTo("p-2", item.address, VersionNudgeFrame {1});
+            CPPUNIT_ASSERT_MESSAGE(item.name + ": no event inside sendTo", peer.closed.empty());
+            CPPUNIT_ASSERT_MESSAGE(item.name, runUntil([&peer] { return !peer.closed.empty(); }));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, std::size_t {1}, peer.closed.size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, id, peer.closed.front().connectionId);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, std::string("p-2"), peer.closed.front().proxyId);
+            CPPUNIT_ASSERT_MESSAGE(item.name, peer.closed.front().neverConnected && peer.closed.front().isOutgoing);
+            // The next frame opens a new connection.
+            const Peer other("p-2");
+            CPPUNIT_ASSERT_MESSAGE(item.name, peer.links.sendTo("p-2", other.links.address(), VersionNudgeFrame {2}) != id);
+            CPPUNIT_ASSERT_MESSAGE(item.name, runUntil([&other] { return other.frames.size() == 1; }));
+        }
+    }
+
+    // Guards against frames for a replaced proxy that go on to its old address.
+    void testPeerAtAnotherAddress()
+    {
+        Peer first("p-1");
+        Peer oldPeer("p-2");
+        Peer newPeer("p-2");
+        const std::uint64_t oldId = first.links.sendTo("p-2", oldPeer.links.address(), VersionNudgeFrame {1});
+        CPPUNIT_ASSERT(runUntil([&oldPeer] { return oldPeer.frames.size() == 1; }));
+        const std::uint64_t newId = first.links.sendTo("p-2", newPeer.links.address(), VersionNudgeFrame {2});
+        CPPUNIT_ASSERT(oldId != newId);
+        CPPUNIT_ASSERT(runUntil([&newPeer] { return newPeer.frames.size() == 1; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, first.closed.size());
+        CPPUNIT_ASSERT_EQUAL(oldId, first.closed.front().connectionId);
+        CPPUNIT_ASSERT(!first.closed.front().neverConnected);
+        CPPUNIT_ASSERT(runUntil([&oldPeer] { return oldPeer.closed.size() == 1; }));
+    }
+
+    // Guards against connections to 26,000 peers that stay open for ever.
+    void testIdleConnectionsAreClosed()
+    {
+        Peer first("p-1");
+        Peer second("p-2");
+        first.links.sendTo("p-2", second.links.address(), VersionNudgeFrame {1});
+        CPPUNIT_ASSERT(runUntil([&second] { return second.frames.size() == 1; }));
+        first.clock.advance(std::chrono::seconds(119));
+        first.links.closeIdle();
+        CPPUNIT_ASSERT(first.closed.empty());
+        first.clock.advance(std::chrono::seconds(2));
+        first.links.closeIdle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, first.closed.size());
+        CPPUNIT_ASSERT(runUntil([&second] { return second.closed.size() == 1; }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestPeerLinks);
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Tests/LibProxy/TestProxySettings.cpp
@@ -0,0 +1,141 @@
+#include <LibProxy/LibProxy.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace Fuchsiastep {
+
+class TestProxySettings : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestProxySettings);
+    CPPUNIT_TEST(testCompleteSettings);
+    CPPUNIT_TEST(testEveryWrongFieldIsNamed);
+    CPPUNIT_TEST(testAllErrorsAreReportedTogether);
+    CPPUNIT_TEST(testUnreadableFile);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr const char *Listen = R"("listen":{"callers":"127.0.0.1:0","control":"127.0.0.1:0","peers":"127.0.0.1:0"})";
+    static constexpr const char *Platform = R"("platform":{"url":"http://127.0.0.1:1"})";
+
+    static std::string withNames(const std::string &members)
+    {
+        return R"({"proxy_id":"p-1","data_centre":"gatton","region":"qld-south",)" + members + '}';
+    }
+
+    static std::string complete(const std::string &more)
+    {
+        return withNames(std::string(Listen) + ',' + Platform + (more.empty() ? "" : ',' + more));
+    }
+
+    // Guards against units and defaults that differ from docs/interfaces.md.
+    void testCompleteSettings()
+    {
+        std::vector<Error> errors;
+        const Result<ProxySettings> parsed = ProxySettings::tryParse(
+            complete(R"("seeds":["127.0.0.1:7","[::1]:8"],"distribution":{"batch_ms":20},"log_level":"warning")"), errors);
+        CPPUNIT_ASSERT_MESSAGE(errors.empty() ? "" : errors.front().detail, !isError(parsed));
+        const ProxySettings &settings = valueOf(parsed);
+        CPPUNIT_ASSERT_EQUAL(std::string("gatton"), settings.dataCentre);
+        CPPUNIT_ASSERT(settings.distribution.batchWindow == std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT(settings.membership.probeInterval == std::chrono::seconds(1));
+        CPPUNIT_ASSERT(settings.limits.drainTime == std::chrono::seconds(30));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {786'432}, settings.limits.requestBodyBytes);
+        CPPUNIT_ASSERT(settings.seeds.at(1) == (SocketAddress {"::1", 8}));
+        CPPUNIT_ASSERT(settings.logLevel == LogLevel::Warning);
+    }
+
+    // Guards against wrong settings that a proxy starts with, and against errors that do not say where they are.
+    void testEveryWrongFieldIsNamed()
+    {
+        struct Case
+        {
+            std::string text;
+            ErrorCode code;
+            std::string path;
+        };
+        const std::string longName(64, 'a');
+        const std::vector<Case> cases {
+            {"{", ErrorCode::SettingsMalformed, ""},
+            {"[]", ErrorCode::SettingsWrongType, "$"},
+            {withNames(Platform), ErrorCode::SettingsMissingKey, "$.listen"},
+            {withNames(Listen), ErrorCode::SettingsMissingKey, "$.platform"},
+            {withNames(std::string(Platform) + R"(,"listen":{"callers":"127.0.0.1:0","control":"127.0.0.1:0"})"),
+                ErrorCode::SettingsMissingKey,
+                "$.listen.peers"},
+            {withNames(std::string(Platform) + R"(,"listen":{"callers":"localhost:80","control":"127.0.0.1:0","peers":"127.0.0.1:0"})"),
+                ErrorCode::SettingsOutOfRange,
+                "$.listen.callers"},
+            {withNames(std::string(Platform) + R"(,"listen":{"callers":"127.0.0.1:65536","control":"127.0.0.1:0","peers":"127.0.0.1:0"})"),
+                ErrorCode::SettingsOutOfRange,
+                "$.listen.callers"},
+            {withNames(std::string(Listen) + R"(,"platform":{"url":"ftp://x"})"), ErrorCode::SettingsOutOfRange, "$.platform.url"},
+            {withNames(std::string(Listen) + R"(,"platform":{})"), ErrorCode::SettingsMissingKey, "$.platform.url"},
+            {R"({"data_centre":"d","region":"r",)" + std::string(Listen) + ',' + Platform + '}',
+                ErrorCode::SettingsMissingKey,
+                "$.proxy_id"},
+            {R"({"proxy_id":"","data_centre":"d","region":"r",)" + std::string(Listen) + ',' + Platform + '}',
+                ErrorCode::SettingsOutOfRange,
+                "$.proxy_id"},
+            {R"({"proxy_id":"P_1","data_centre":"d","region":"r",)" + std::string(Listen) + ',' + Platform + '}',
+                ErrorCode::SettingsOutOfRange,
+                "$.proxy_id"},
+            {R"({"proxy_id":"p","data_centre":")" + longName + R"(","region":"r",)" + Listen + ',' + Platform + '}',
+                ErrorCode::SettingsOutOfRange,
+                "$.data_centre"},
+            {complete(R"("colour":1)"), ErrorCode::SettingsUnknownKey, "$.colour"},
+            {complete(R"("distribution":{"batch":1})"), ErrorCode::SettingsUnknownKey, "$.distribution.batch"},
+            {complete(R"("distribution":[])"), ErrorCode::SettingsWrongType, "$.distribution"},
+            {complete(R"("distribution":{"batch_ms":"20"})"), ErrorCode::SettingsWrongType, "$.distribution.batch_ms"},
+            {complete(R"("distribution":{"batch_ms":1.5})"), ErrorCode::SettingsWrongType, "$.distribution.batch_ms"},
+            {complete(R"("distribution":{"batch_ms":-1})"), ErrorCode::SettingsOutOfRange, "$.distribution.batch_ms"},
+            {complete(R"("distribution":{"batch_ms":600001})"), ErrorCode::SettingsOutOfRange, "$.distribution.batch_ms"},
+            {complete(R"("distribution":{"reader_poll_ms":9})"), ErrorCode::SettingsOutOfRange, "$.distribution.reader_poll_ms"},
+            {complete(R"("distribution":{"readers":0})"), ErrorCode::SettingsOutOfRange, "$.distribution.readers"},
+            {complete(R"("distribution":{"fan_out":65})"), ErrorCode::SettingsOutOfRange, "$.distribution.fan_out"},
+            {complete(R"("membership":{"probe_ms":49})"), ErrorCode::SettingsOutOfRange, "$.membership.probe_ms"},
+            {complete(R"("membership":{"probe_ms":300})"), ErrorCode::SettingsOutOfRange, "$.membership.probe_timeout_ms"},
+            {complete(R"("limits":{"request_body_bytes":1024001})"), ErrorCode::SettingsOutOfRange, "$.limits.request_body_bytes"},
+            {complete(R"("limits":{"answer_body_bytes":1023})"), ErrorCode::SettingsOutOfRange, "$.limits.answer_body_bytes"},
+            {complete(R"("limits":{"requests_in_flight":0})"), ErrorCode::SettingsOutOfRange, "$.limits.requests_in_flight"},
+            {complete(R"("limits":{"queue_per_slot":1001})"), ErrorCode::SettingsOutOfRange, "$.limits.queue_per_slot"},
+            {complete(R"("limits":{"drain_ms":true})"), ErrorCode::SettingsWrongType, "$.limits.drain_ms"},
+            {complete(R"("seeds":["127.0.0.1:1","x"])"), ErrorCode::SettingsOutOfRange, "$.seeds[1]"},
+            {complete(R"("seeds":"127.0.0.1:1")"), ErrorCode::SettingsWrongType, "$.seeds"},
+            {complete(R"("log_level":"loud")"), ErrorCode::SettingsOutOfRange, "$.log_level"},
+        };
+        for (const Case &item : cases) {
+            std::vector<Error> errors;
+            const Result<ProxySettings> parsed = ProxySettings::tryParse(item.text, errors);
+            CPPUNIT_ASSERT_MESSAGE(item.text, isError(parsed));
+            const bool isNamed = std::any_of(errors.begin(), errors.end(), [&item](const Error &error) {
+                return error.code == item.code && (item.path.empty() || error.detail.starts_with(item.path + ": "));
+            });
+            CPPUNIT_ASSERT_MESSAGE(item.text + " gives " + describe(errors.front()), isNamed);
+        }
+    }
+
+    // Guards against a check that stops at the first error, which costs operators one start for each.
+    void testAllErrorsAreReportedTogether()
+    {
+        std::vector<Error> errors;
+        ProxySettings::tryParse(complete(R"("colour":1,"limits":{"queue_ms":-1},"log_level":"loud")"), errors);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {3}, errors.size());
+    }
+
+    // Guards against a proxy that starts with defaults where its file is missing or empty.
+    void testUnreadableFile()
+    {
+        std::vector<Error> errors;
+        const Result<ProxySettings> missing = ProxySettings::tryLoad("/nonexistent/proxy.json", errors);
+        CPPUNIT_ASSERT(isError(missing) && errorOf(missing).code == ErrorCode::SettingsUnreadable);
+        errors.clear();
+        CPPUNIT_ASSERT(isError(ProxySettings::tryLoad("/dev/null", errors)));
+        errors.clear();
+        CPPUNIT_ASSERT(isError(ProxySettings::tryLoad(FUCHSIASTEP_SOURCE_DIR, errors)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestProxySettings);
+
+} // namespace Fuchsiastep
