--- a/Libraries/LibProxy/UpstreamClient.cpp
+++ b/Libraries/LibProxy/UpstreamClient.cpp
@@ -60,8 +60,8 @@
         m_onEvent(UpstreamRequestFailed {localId, false, false, {ErrorCode::RequestMalformed, "method or path"}});
         return;
     }
-    // libsoup sends a request again when a kept connection turns out to be closed. A request that may not be
-    // repeated therefore gets a connection of its own, on which libsoup never does that.
+    // A request that may not be repeated gets a connection of its own: on a kept one it could meet an upstream that
+    // is closing the connection, and its outcome would be unknown for no reason.
     const SoupMessageFlags connectionFlag = request.isRepeatable ? SOUP_MESSAGE_IDEMPOTENT : SOUP_MESSAGE_NEW_CONNECTION;
     soup_message_add_flags(message, static_cast<SoupMessageFlags>(SOUP_MESSAGE_NO_REDIRECT | connectionFlag));
     SoupMessageHeaders *headers = soup_message_get_request_headers(message);
@@ -86,6 +86,9 @@
         static_cast<Exchange *>(data)->isSent = true;
     };
     g_signal_connect(message, "starting", G_CALLBACK(onStarting), raw);
+    // libsoup sends a request again by itself when a kept connection breaks. Only the caller side decides on that.
+    const auto onRestarted = +[](SoupMessage *, gpointer data) { g_cancellable_cancel(static_cast<Exchange *>(data)->cancellable); };
+    g_signal_connect(message, "restarted", G_CALLBACK(onRestarted), raw);
     m_exchanges[localId] = std::move(exchange);
     const GAsyncReadyCallback onAnswer = [](GObject *session, GAsyncResult *result, gpointer data) {
         auto *ended = static_cast<Exchange *>(data);
