Never let libsoup send a request to an upstream a second time

Cause: libsoup repeats GET, PUT and DELETE by itself when a kept connection breaks; a request that crashes upstreams would run several times for one try. Change: the message is cancelled when libsoup restarts it and is reported as a broken connection.

--- a/Libraries/LibCore/LogEvent.cpp
+++ b/Libraries/LibCore/LogEvent.cpp
@@ -62,7 +62,8 @@
     LogEventInfo {
         LogEvent::ClaimSettled, "ClaimSettled", LogLevel::Info, "A claim whose insert was not answered was settled by reading its row."},
     LogEventInfo {LogEvent::HttpRequestRejected, "HttpRequestRejected", LogLevel::Info, "An HTTP request is not valid or too large."},
-    LogEventInfo {LogEvent::TryFailed, "TryFailed", LogLevel::Debug, "A proxy beside an upstream did not answer a request; it may be tried again."},
+    LogEventInfo {
+        LogEvent::TryFailed, "TryFailed", LogLevel::Debug, "A proxy beside an upstream did not answer a request; it may be tried again."},
     LogEventInfo {LogEvent::OperatorRequestRejected, "OperatorRequestRejected", LogLevel::Info, "An operator request is not valid."},
 };
 
--- a/Libraries/LibProxy/ConfigurationTask.cpp
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -33,13 +33,13 @@
 }
 
 ConfigurationTask::ConfigurationTask(const ProxySettings &settings,
-                                     const MembershipTable &table,
-                                     const Clock &clock,
-                                     Random &random,
-                                     MetricsRegistry &metrics,
-                                     PeerLinks &links,
-                                     PlatformClient &platform,
-                                     EventHandler onEvent)
+    const MembershipTable &table,
+    const Clock &clock,
+    Random &random,
+    MetricsRegistry &metrics,
+    PeerLinks &links,
+    PlatformClient &platform,
+    EventHandler onEvent)
     : m_settings(settings)
     , m_table(table)
     , m_clock(clock)
@@ -56,8 +56,7 @@
         std::visit([this](const auto &content) { handle(content); }, message);
         finishTurn();
     })
-{
-}
+{ }
 
 ConfigurationTask::~ConfigurationTask() = default;
 
@@ -119,8 +118,8 @@
         return;
     }
     const std::uint64_t id = m_nextChangeId++;
-    auto inProgress = std::make_unique<ChangeInProgress>(
-        ChangeInProgress {ChangeCommitter({}, m_clock, m_random), valueOf(change).operationId, valueOf(change).operatorName, submitted.reply});
+    auto inProgress = std::make_unique<ChangeInProgress>(ChangeInProgress {
+        ChangeCommitter({}, m_clock, m_random), valueOf(change).operationId, valueOf(change).operatorName, submitted.reply});
     ChangeCommitter &committer = inProgress->committer;
     m_changes[id] = std::move(inProgress);
     run(id, committer.handle(SubmitChange {valueOf(std::move(change)), m_holder.current()}));
@@ -221,7 +220,7 @@
                            logEvent(LogEvent::RangeReassigned, {{"from", reassigned.oldDelegate}, {"to", reassigned.newDelegate}});
                        },
                    },
-                   output);
+            output);
     }
 }
 
@@ -246,9 +245,11 @@
                        [](const VersionReported &reported) {
                            logEvent(LogEvent::ConfigurationRejected, {{"version", reported.version}, {"error", describe(reported.error)}});
                        },
-                       [](const SnapshotStored &stored) { logEvent(LogEvent::SnapshotWritten, {{"version", stored.version}}); },
+                       [](const SnapshotStored &stored) {
+                           logEvent(LogEvent::SnapshotWritten, {{"version", stored.version}});
+                       },
                    },
-                   output);
+            output);
     }
 }
 
@@ -264,37 +265,37 @@
                        },
                        [this](const GateClosed &) { m_onEvent(ReadinessChanged {false}); },
                    },
-                   output);
+            output);
     }
 }
 
 void ConfigurationTask::run(std::uint64_t changeId, std::vector<ChangeCommitterOutput> outputs)
 {
     for (ChangeCommitterOutput &output : outputs) {
-        std::visit(Overloaded {
-                       [this, changeId](PlatformCall &call) {
-                           callPlatform(std::move(call.request), [this, changeId, id = call.id](const PlatformResponse &response) {
-                               const auto change = m_changes.find(changeId);
-                               if (change != m_changes.end()) {
-                                   run(changeId, change->second->committer.handle(PlatformReply {id, response}));
-                               }
-                           });
-                       },
-                       [this, changeId](const ChangeAccepted &accepted) {
-                           const ChangeInProgress &change = *m_changes.at(changeId);
-                           logEvent(LogEvent::ChangeAccepted,
-                                    {{"version", accepted.version}, {"operator", change.operatorName}, {"operation", change.operationId}});
-                           nudgeReaders(accepted.version);
-                           finishChange(changeId,
-                                        {200, JsonValue::Object {{"version", accepted.version}, {"digest", accepted.digest.toHex()}}});
-                       },
-                       [this, changeId](const ChangeRefused &refused) {
-                           const ChangeInProgress &change = *m_changes.at(changeId);
-                           logEvent(LogEvent::ChangeRefused, {{"operator", change.operatorName}, {"error", describe(refused.error)}});
-                           finishChange(changeId, operatorFailure(refused.error));
-                       },
-                   },
-                   output);
+        std::visit(
+            Overloaded {
+                [this, changeId](PlatformCall &call) {
+                    callPlatform(std::move(call.request), [this, changeId, id = call.id](const PlatformResponse &response) {
+                        const auto change = m_changes.find(changeId);
+                        if (change != m_changes.end()) {
+                            run(changeId, change->second->committer.handle(PlatformReply {id, response}));
+                        }
+                    });
+                },
+                [this, changeId](const ChangeAccepted &accepted) {
+                    const ChangeInProgress &change = *m_changes.at(changeId);
+                    logEvent(LogEvent::ChangeAccepted,
+                        {{"version", accepted.version}, {"operator", change.operatorName}, {"operation", change.operationId}});
+                    nudgeReaders(accepted.version);
+                    finishChange(changeId, {200, JsonValue::Object {{"version", accepted.version}, {"digest", accepted.digest.toHex()}}});
+                },
+                [this, changeId](const ChangeRefused &refused) {
+                    const ChangeInProgress &change = *m_changes.at(changeId);
+                    logEvent(LogEvent::ChangeRefused, {{"operator", change.operatorName}, {"error", describe(refused.error)}});
+                    finishChange(changeId, operatorFailure(refused.error));
+                },
+            },
+            output);
     }
 }
 
@@ -310,7 +311,7 @@
     m_adoptedUnixMs = m_clock.unixMilliseconds();
     m_metrics.setGauge("fuchsiastep_configuration_version", static_cast<double>(configuration->version()));
     logEvent(LogEvent::ConfigurationAdopted,
-             {{"version", configuration->version()}, {"digest", configuration->digest().toHex()}, {"unix_ms", m_adoptedUnixMs}});
+        {{"version", configuration->version()}, {"digest", configuration->digest().toHex()}, {"unix_ms", m_adoptedUnixMs}});
     changeView(m_view->withConfiguration(configuration));
     m_onEvent(VersionHeld {{configuration->version(), configuration->digest()}});
     run(m_reader.handle(ConfigurationHeld {configuration}));
@@ -381,7 +382,7 @@
     run(m_reader.handle(VersionNudge {version}));
     for (const std::string &dataCentre : m_table.dataCentres()) {
         for (const MemberRecord *reader :
-             rendezvousMembers(m_table, dataCentre, ReaderRoleName, m_settings.distribution.readersPerDataCentre)) {
+            rendezvousMembers(m_table, dataCentre, ReaderRoleName, m_settings.distribution.readersPerDataCentre)) {
             if (reader->proxyId != m_settings.proxyId) {
                 sendFrame(reader->proxyId, VersionNudgeFrame {version});
             }
--- a/Libraries/LibProxy/ConfigurationTask.h
+++ b/Libraries/LibProxy/ConfigurationTask.h
@@ -29,16 +29,16 @@
 };
 
 using ConfigurationTaskMessage = std::variant<PeerFrame,
-                                              PeerVersion,
-                                              MemberChange,
-                                              EndpointsChanged,
-                                              FreezeDetected,
-                                              PlatformAnswered,
-                                              ChangeSubmitted,
-                                              ObjectsWanted,
-                                              AuditWanted,
-                                              RoutesWanted,
-                                              StatusWanted>;
+    PeerVersion,
+    MemberChange,
+    EndpointsChanged,
+    FreezeDetected,
+    PlatformAnswered,
+    ChangeSubmitted,
+    ObjectsWanted,
+    AuditWanted,
+    RoutesWanted,
+    StatusWanted>;
 
 /// The proxy holds this version now.
 struct VersionHeld
@@ -56,13 +56,13 @@
     using EventHandler = std::function<void(ConfigurationTaskEvent event)>;
 
     ConfigurationTask(const ProxySettings &settings,
-                      const MembershipTable &table,
-                      const Clock &clock,
-                      Random &random,
-                      MetricsRegistry &metrics,
-                      PeerLinks &links,
-                      PlatformClient &platform,
-                      EventHandler onEvent);
+        const MembershipTable &table,
+        const Clock &clock,
+        Random &random,
+        MetricsRegistry &metrics,
+        PeerLinks &links,
+        PlatformClient &platform,
+        EventHandler onEvent);
     ~ConfigurationTask();
 
     /// Starts to look for the newest version.
--- a/Libraries/LibProxy/MembershipTask.cpp
+++ b/Libraries/LibProxy/MembershipTask.cpp
@@ -20,13 +20,13 @@
 }
 
 MembershipTask::MembershipTask(const ProxySettings &settings,
-                               MemberRecord self,
-                               const Clock &clock,
-                               Random &random,
-                               MetricsRegistry &metrics,
-                               PeerLinks &links,
-                               PlatformClient &platform,
-                               EventHandler onEvent)
+    MemberRecord self,
+    const Clock &clock,
+    Random &random,
+    MetricsRegistry &metrics,
+    PeerLinks &links,
+    PlatformClient &platform,
+    EventHandler onEvent)
     : m_settings(settings)
     , m_metrics(metrics)
     , m_links(links)
@@ -41,8 +41,7 @@
         std::visit([this](const auto &content) { handle(content); }, message);
         finishTurn();
     })
-{
-}
+{ }
 
 MembershipTask::~MembershipTask() = default;
 
@@ -162,7 +161,7 @@
                            logEvent(LogEvent::OperatorRequestRejected, {{"error", describe(rejected.error)}});
                        },
                    },
-                   output);
+            output);
     }
 }
 
@@ -172,15 +171,16 @@
         std::visit(Overloaded {
                        [this](PlatformCall &call) {
                            const CallId id = call.id;
-                           m_platform.send(std::move(call.request),
-                                           [this, id](PlatformResponse response) { post(PlatformReply {id, std::move(response)}); });
+                           m_platform.send(std::move(call.request), [this, id](PlatformResponse response) {
+                               post(PlatformReply {id, std::move(response)});
+                           });
                        },
                        [this](const SendFrame &send) { sendFrame(send); },
                        [this](const SendFrameToAddress &send) { m_links.sendToAddress(send.address, send.frame); },
                        [this](const MergeRecords &merge) { run(m_detector.handle(merge)); },
                        [this](const JoinCompleted &joined) { m_onEvent(joined); },
                    },
-                   output);
+            output);
     }
 }
 
@@ -192,11 +192,11 @@
                        [this](const MergeRecords &merge) { run(m_detector.handle(merge)); },
                        [this](const DataCentreReachability &reachability) {
                            m_metrics.setGauge("fuchsiastep_data_centre_reachable",
-                                              reachability.isReachable ? 1 : 0,
-                                              "data_centre=\"" + reachability.dataCentre + '"');
+                               reachability.isReachable ? 1 : 0,
+                               "data_centre=\"" + reachability.dataCentre + '"');
                        },
                    },
-                   output);
+            output);
     }
 }
 
@@ -244,7 +244,9 @@
     if (change.before && change.before->state == change.after.state) {
         return;
     }
-    const auto write = [&](LogEvent event) { logEvent(event, {{"member", change.after.proxyId}, {"state", memberStateInfo(change.after.state).name}}); };
+    const auto write = [&](LogEvent event) {
+        logEvent(event, {{"member", change.after.proxyId}, {"state", memberStateInfo(change.after.state).name}});
+    };
     switch (change.after.state) {
     case MemberState::Suspect:
         write(LogEvent::MemberSuspected);
--- a/Libraries/LibProxy/MembershipTask.h
+++ b/Libraries/LibProxy/MembershipTask.h
@@ -38,13 +38,13 @@
     using EventHandler = std::function<void(MembershipTaskEvent event)>;
 
     MembershipTask(const ProxySettings &settings,
-                   MemberRecord self,
-                   const Clock &clock,
-                   Random &random,
-                   MetricsRegistry &metrics,
-                   PeerLinks &links,
-                   PlatformClient &platform,
-                   EventHandler onEvent);
+        MemberRecord self,
+        const Clock &clock,
+        Random &random,
+        MetricsRegistry &metrics,
+        PeerLinks &links,
+        PlatformClient &platform,
+        EventHandler onEvent);
     ~MembershipTask();
 
     /// Opens the probe socket. Fails with ListenFailed.
--- a/Libraries/LibProxy/OperatorChangeParser.cpp
+++ b/Libraries/LibProxy/OperatorChangeParser.cpp
@@ -39,7 +39,8 @@
     change.comment = reader.optionalString("comment");
     std::optional<ConfigurationVersion> baseVersion;
     if (reader.has("base_version")) {
-        baseVersion = static_cast<ConfigurationVersion>(reader.optionalInteger("base_version", 0, 0, std::numeric_limits<std::int64_t>::max()));
+        baseVersion =
+            static_cast<ConfigurationVersion>(reader.optionalInteger("base_version", 0, 0, std::numeric_limits<std::int64_t>::max()));
     } else {
         reader.optionalValue("base_version");
     }
--- a/Libraries/LibProxy/OperatorTask.cpp
+++ b/Libraries/LibProxy/OperatorTask.cpp
@@ -26,8 +26,7 @@
     , m_silenceTimer(clock, [this] { m_onEvent(AnnouncementsEnded {}); })
     , m_mailbox([this](OperatorTaskMessage message) { std::visit([this](const auto &content) { handle(content); }, message); })
     , m_replies([this](std::pair<std::uint64_t, OperatorReply> reply) { answer(reply.first, reply.second); })
-{
-}
+{ }
 
 OperatorTask::~OperatorTask() = default;
 
@@ -196,7 +195,9 @@
 
 OperatorReplyHandler OperatorTask::replyTo(std::uint64_t token)
 {
-    return [this, token](OperatorReply reply) { m_replies.post({token, std::move(reply)}); };
+    return [this, token](OperatorReply reply) {
+        m_replies.post({token, std::move(reply)});
+    };
 }
 
 } // namespace Fuchsiastep
--- a/Libraries/LibProxy/OperatorTask.h
+++ b/Libraries/LibProxy/OperatorTask.h
@@ -26,12 +26,10 @@
 
 /// The upstream has not announced itself for 3 s.
 struct AnnouncementsEnded
-{
-};
+{ };
 
 struct DrainWanted
-{
-};
+{ };
 
 /// Collect the whole status and reply.
 struct WholeStatusWanted
@@ -45,14 +43,14 @@
 };
 
 using OperatorTaskEvent = std::variant<UpstreamAnnouncement,
-                                       AnnouncementsEnded,
-                                       DrainWanted,
-                                       WholeStatusWanted,
-                                       MembersWanted,
-                                       ChangeSubmitted,
-                                       ObjectsWanted,
-                                       AuditWanted,
-                                       RoutesWanted>;
+    AnnouncementsEnded,
+    DrainWanted,
+    WholeStatusWanted,
+    MembersWanted,
+    ChangeSubmitted,
+    ObjectsWanted,
+    AuditWanted,
+    RoutesWanted>;
 
 /// Serves the control address: operators, the upstream's announcements, metrics and readiness.
 class OperatorTask
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -12,19 +12,18 @@
     , m_startedAt(m_clock.now())
     , m_incarnation(static_cast<std::uint64_t>(m_clock.unixMilliseconds()))
     , m_drainTimer(m_clock,
-                   [this] {
-                       if (m_hasLeft) {
-                           m_onStopped();
-                       } else {
-                           leave();
-                       }
-                   })
+          [this] {
+              if (m_hasLeft) {
+                  m_onStopped();
+              } else {
+                  leave();
+              }
+          })
     , m_idleTimer(m_clock, [this] {
         m_links->closeIdle();
         m_idleTimer.setDeadline(m_clock.now() + IdleCheckInterval);
     })
-{
-}
+{ }
 
 ProxyRuntime::~ProxyRuntime()
 {
@@ -38,11 +37,11 @@
     constexpr int Attempts = 20;
     Error lastError;
     for (int attempt = 0; attempt < Attempts; ++attempt) {
-        m_links = std::make_unique<PeerLinks>(
-            HelloFrame {HelloFrame::CurrentProtocol, m_settings.proxyId, m_incarnation, m_settings.dataCentre},
-            m_clock,
-            m_metrics,
-            [this](PeerLinksEvent event) { handlePeers(std::move(event)); });
+        m_links =
+            std::make_unique<PeerLinks>(HelloFrame {HelloFrame::CurrentProtocol, m_settings.proxyId, m_incarnation, m_settings.dataCentre},
+                m_clock,
+                m_metrics,
+                [this](PeerLinksEvent event) { handlePeers(std::move(event)); });
         const Result<Done> listening = m_links->tryListen(m_settings.listen.peers);
         if (isError(listening)) {
             return errorOf(listening);
@@ -74,7 +73,8 @@
     platform.baseUrl = m_settings.platform.url;
     platform.timeout = m_settings.platform.timeout;
     m_platform = std::make_unique<PlatformClient>(platform);
-    m_operators = std::make_unique<OperatorTask>(m_clock, m_metrics, [this](OperatorTaskEvent event) { handleOperators(std::move(event)); });
+    m_operators =
+        std::make_unique<OperatorTask>(m_clock, m_metrics, [this](OperatorTaskEvent event) { handleOperators(std::move(event)); });
     const Result<Done> control = m_operators->tryListen(m_settings.listen.control);
     if (isError(control)) {
         return errorOf(control);
@@ -91,10 +91,14 @@
     if (isError(callers)) {
         return errorOf(callers);
     }
-    m_configuration = std::make_unique<ConfigurationTask>(
-        m_settings, m_membership->table(), m_clock, m_random, m_metrics, *m_links, *m_platform, [this](const ConfigurationTaskEvent &event) {
-            handleConfiguration(event);
-        });
+    m_configuration = std::make_unique<ConfigurationTask>(m_settings,
+        m_membership->table(),
+        m_clock,
+        m_random,
+        m_metrics,
+        *m_links,
+        *m_platform,
+        [this](const ConfigurationTaskEvent &event) { handleConfiguration(event); });
     m_membership->start();
     m_configuration->start();
     m_idleTimer.setDeadline(m_clock.now() + IdleCheckInterval);
@@ -109,14 +113,18 @@
         return;
     }
     std::visit(Overloaded {
-                   [&](MembershipSyncFrame &) { m_membership->post(PeerFrame {received->proxyId, std::move(received->frame)}); },
+                   [&](MembershipSyncFrame &) {
+                       m_membership->post(PeerFrame {received->proxyId, std::move(received->frame)});
+                   },
                    [&](RequestFrame &) { m_requests->post(std::move(*received)); },
                    [&](AnswerFrame &) { m_requests->post(std::move(*received)); },
                    [&](AnswerPartFrame &) { m_requests->post(std::move(*received)); },
                    [&](CancelFrame &) { m_requests->post(std::move(*received)); },
-                   [&](auto &) { m_configuration->post(PeerFrame {received->proxyId, std::move(received->frame)}); },
+                   [&](auto &) {
+                       m_configuration->post(PeerFrame {received->proxyId, std::move(received->frame)});
+                   },
                },
-               received->frame);
+        received->frame);
 }
 
 void ProxyRuntime::handleRequests(const RequestTaskEvent &event)
@@ -129,7 +137,7 @@
                        }
                    },
                },
-               event);
+        event);
 }
 
 void ProxyRuntime::handleMembership(MembershipTaskEvent event)
@@ -142,7 +150,7 @@
                    [this](const FreezeDetected &freeze) { m_configuration->post(freeze); },
                    [](const JoinCompleted &) {},
                },
-               event);
+        event);
 }
 
 void ProxyRuntime::handleConfiguration(const ConfigurationTaskEvent &event)
@@ -157,7 +165,7 @@
                    },
                    [this](const VersionHeld &held) { m_membership->post(HeldVersionChanged {held.held}); },
                },
-               event);
+        event);
 }
 
 void ProxyRuntime::handleOperators(OperatorTaskEvent event)
@@ -179,7 +187,7 @@
                    },
                    [this](auto &request) { m_configuration->post(std::move(request)); },
                },
-               event);
+        event);
 }
 
 void ProxyRuntime::announce(const UpstreamAnnouncement &announcement)
@@ -206,7 +214,7 @@
     }
     if (!m_endpoint || isRestarted) {
         logEvent(LogEvent::UpstreamAnnounced,
-                 {{"upstream", endpoint.upstreamId}, {"service", endpoint.service}, {"address", announcement.address.toString()}});
+            {{"upstream", endpoint.upstreamId}, {"service", endpoint.service}, {"address", announcement.address.toString()}});
     }
     m_endpoint = std::move(endpoint);
     publishOwnRecord();
@@ -233,19 +241,22 @@
     };
     auto collection = std::make_shared<Collection>();
     const ProcessUsage usage = ProcessUsage::current();
-    const auto counter = [this](std::string_view name, std::string_view path) { return m_metrics.counter(name, path); };
+    const auto counter = [this](std::string_view name, std::string_view path) {
+        return m_metrics.counter(name, path);
+    };
     collection->status = {
         {"proxy", m_settings.proxyId},
         {"data_centre", m_settings.dataCentre},
         {"region", m_settings.region},
         {"incarnation", m_incarnation},
         {"control_bytes_sent",
-         counter("fuchsiastep_control_bytes_total", "path=\"tcp\"") + counter("fuchsiastep_control_bytes_total", "path=\"udp\"")},
+            counter("fuchsiastep_control_bytes_total", "path=\"tcp\"") + counter("fuchsiastep_control_bytes_total", "path=\"udp\"")},
         {"control_messages_sent",
-         counter("fuchsiastep_control_messages_total", "path=\"tcp\"") + counter("fuchsiastep_control_messages_total", "path=\"udp\"")},
+            counter("fuchsiastep_control_messages_total", "path=\"tcp\"") + counter("fuchsiastep_control_messages_total", "path=\"udp\"")},
         {"processor_ms", static_cast<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(usage.processorTime).count())},
         {"resident_bytes", usage.residentBytes},
-        {"uptime_ms", static_cast<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_startedAt).count())},
+        {"uptime_ms",
+            static_cast<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_startedAt).count())},
     };
     const auto receive = [collection, reply](JsonValue::Object part) {
         const auto members = part.find("members");
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -58,13 +58,13 @@
 };
 
 RequestTask::RequestTask(const ProxySettings &settings,
-                         std::uint64_t incarnation,
-                         const Clock &clock,
-                         Random &random,
-                         MetricsRegistry &metrics,
-                         PeerLinks &links,
-                         PlatformClient &platform,
-                         EventHandler onEvent)
+    std::uint64_t incarnation,
+    const Clock &clock,
+    Random &random,
+    MetricsRegistry &metrics,
+    PeerLinks &links,
+    PlatformClient &platform,
+    EventHandler onEvent)
     : m_settings(settings)
     , m_clock(clock)
     , m_metrics(metrics)
@@ -83,8 +83,7 @@
         std::visit([this](const auto &content) { handle(content); }, message);
         finishTurn();
     })
-{
-}
+{ }
 
 RequestTask::~RequestTask() = default;
 
@@ -124,8 +123,12 @@
 void RequestTask::handle(const PeerFrameReceived &received)
 {
     std::visit(Overloaded {
-                   [&](const RequestFrame &frame) { run(m_gate.handle(PeerRequest {received.connectionId, frame})); },
-                   [&](const CancelFrame &frame) { run(m_gate.handle(PeerCancel {received.connectionId, frame.requestId})); },
+                   [&](const RequestFrame &frame) {
+                       run(m_gate.handle(PeerRequest {received.connectionId, frame}));
+                   },
+                   [&](const CancelFrame &frame) {
+                       run(m_gate.handle(PeerCancel {received.connectionId, frame.requestId}));
+                   },
                    [&](const AnswerFrame &frame) {
                        if (frame.outcome != RequestOutcome::Answered) {
                            logEvent(LogEvent::TryFailed, {{"peer", received.proxyId}, {"error", describe({frame.code, frame.detail})}});
@@ -137,7 +140,7 @@
                    },
                    [](const auto &) {},
                },
-               received.frame);
+        received.frame);
 }
 
 void RequestTask::handle(const PeerConnectionClosed &closed)
@@ -163,11 +166,8 @@
         run(m_gate.handle(UpstreamLost {}));
         return;
     }
-    run(m_gate.handle(UpstreamAnnounced {announcement.upstreamId,
-                                         announcement.service,
-                                         announcement.slots,
-                                         announcement.connections,
-                                         announcement.doRefusalsMeanNotRun}));
+    run(m_gate.handle(UpstreamAnnounced {
+        announcement.upstreamId, announcement.service, announcement.slots, announcement.connections, announcement.doRefusalsMeanNotRun}));
     run(m_gate.handle(UpstreamLoadReported {announcement.loadPermille}));
 }
 
@@ -219,7 +219,7 @@
                        }
                    },
                },
-               event);
+        event);
     finishTurn();
 }
 
@@ -279,7 +279,7 @@
     m_metrics.observe("fuchsiastep_request_seconds", m_clock.now() - call->second.startedAt);
     if (answer.outcome == RequestOutcome::Unknown) {
         logEvent(LogEvent::RequestUnknown,
-                 {{"service", call->second.service}, {"error", describe({answer.code, answer.detail})}, {"tries", answer.tries}});
+            {{"service", call->second.service}, {"error", describe({answer.code, answer.detail})}, {"tries", answer.tries}});
     } else if (answer.outcome == RequestOutcome::NotRun) {
         logEvent(LogEvent::RequestRefused, {{"service", call->second.service}, {"error", describe({answer.code, answer.detail})}});
     }
@@ -292,11 +292,8 @@
     std::visit(Overloaded {
                    [this](UpstreamAnswered &answered) {
                        m_metrics.observe("fuchsiastep_upstream_seconds", answered.elapsed);
-                       run(m_gate.handle(UpstreamAnswer {answered.localId,
-                                                         answered.status,
-                                                         std::move(answered.headers),
-                                                         std::move(answered.body),
-                                                         answered.wasRefused}));
+                       run(m_gate.handle(UpstreamAnswer {
+                           answered.localId, answered.status, std::move(answered.headers), std::move(answered.body), answered.wasRefused}));
                    },
                    [this](const UpstreamRequestFailed &failed) {
                        m_metrics.count("fuchsiastep_upstream_failures_total");
@@ -306,7 +303,7 @@
                        }
                    },
                },
-               event);
+        event);
     finishTurn();
 }
 
@@ -337,16 +334,16 @@
                        [this](const SendCancel &cancel) { m_links.sendToOpen(cancel.proxyId, cancel.frame); },
                        [this](CallerAnswer &end) {
                            finishCall({end.token,
-                                       end.outcome,
-                                       end.code,
-                                       std::move(end.detail),
-                                       end.status,
-                                       std::move(end.headers),
-                                       std::move(end.body),
-                                       end.tries});
+                               end.outcome,
+                               end.code,
+                               std::move(end.detail),
+                               end.status,
+                               std::move(end.headers),
+                               std::move(end.body),
+                               end.tries});
                        },
                    },
-                   output);
+            output);
     }
 }
 
@@ -370,10 +367,10 @@
                        [this](const DrainFinished &) { m_isGateDrained = true; },
                        [](const CrashReport &report) {
                            logEvent(LogEvent::UpstreamCrashed,
-                                    {{"upstream", report.upstreamId}, {"in_flight", report.fingerprints.size()}, {"alone", report.wasAlone}});
+                               {{"upstream", report.upstreamId}, {"in_flight", report.fingerprints.size()}, {"alone", report.wasAlone}});
                        },
                    },
-                   output);
+            output);
     }
 }
 
@@ -383,12 +380,13 @@
         std::visit(Overloaded {
                        [this](PlatformCall &call) {
                            const CallId id = call.id;
-                           m_platform.send(std::move(call.request),
-                                           [this, id](PlatformResponse response) { post(PlatformReply {id, std::move(response)}); });
+                           m_platform.send(std::move(call.request), [this, id](PlatformResponse response) {
+                               post(PlatformReply {id, std::move(response)});
+                           });
                        },
                        [this](const ClaimSettled &settled) { run(m_gate.handle(settled)); },
                    },
-                   output);
+            output);
     }
 }
 
@@ -410,8 +408,8 @@
     updateGauges();
     std::optional<TimePoint> next = earliestDeadline({m_coordinator.nextDeadline(), m_gate.nextDeadline(), m_ledger.nextDeadline()});
     if (m_isDraining && !m_isDrainReported) {
-        const bool isIdle =
-            m_isGateDrained && m_ledger.isIdle() && m_coordinator.inFlight() == 0 && m_callers.requestsOpen() == 0 && !m_links.hasQueuedBytes();
+        const bool isIdle = m_isGateDrained && m_ledger.isIdle() && m_coordinator.inFlight() == 0 && m_callers.requestsOpen() == 0
+            && !m_links.hasQueuedBytes();
         if (isIdle) {
             m_isDrainReported = true;
             m_onEvent(RequestsDrained {});
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -37,13 +37,11 @@
 
 /// The upstream no longer announces itself.
 struct UpstreamSilent
-{
-};
+{ };
 
 /// Refuse new work and finish what runs.
 struct DrainStarted
-{
-};
+{ };
 
 /// Another member knows more about a request that crashes upstreams.
 struct SuspectLearned
@@ -52,21 +50,20 @@
 };
 
 using RequestTaskMessage = std::variant<ViewChanged,
-                                        ReadinessChanged,
-                                        PeerLinkEstablished,
-                                        PeerFrameReceived,
-                                        PeerConnectionClosed,
-                                        UpstreamAnnouncement,
-                                        UpstreamSilent,
-                                        DrainStarted,
-                                        SuspectLearned,
-                                        PlatformReply,
-                                        StatusWanted>;
+    ReadinessChanged,
+    PeerLinkEstablished,
+    PeerFrameReceived,
+    PeerConnectionClosed,
+    UpstreamAnnouncement,
+    UpstreamSilent,
+    DrainStarted,
+    SuspectLearned,
+    PlatformReply,
+    StatusWanted>;
 
 /// Nothing is in flight after DrainStarted.
 struct RequestsDrained
-{
-};
+{ };
 
 /// The upstream crashed with these requests in flight; for the other members.
 struct SuspectsChanged
@@ -84,13 +81,13 @@
     using EventHandler = std::function<void(RequestTaskEvent event)>;
 
     RequestTask(const ProxySettings &settings,
-                std::uint64_t incarnation,
-                const Clock &clock,
-                Random &random,
-                MetricsRegistry &metrics,
-                PeerLinks &links,
-                PlatformClient &platform,
-                EventHandler onEvent);
+        std::uint64_t incarnation,
+        const Clock &clock,
+        Random &random,
+        MetricsRegistry &metrics,
+        PeerLinks &links,
+        PlatformClient &platform,
+        EventHandler onEvent);
     ~RequestTask();
 
     /// Opens the callers' listener. Fails with ListenFailed.
--- a/Libraries/LibProxy/UpstreamClient.cpp
+++ b/Libraries/LibProxy/UpstreamClient.cpp
@@ -14,6 +14,8 @@
     TimePoint startedAt;
     /// libsoup began to write the request, so that bytes may have reached the upstream.
     bool isSent = false;
+    /// The connection broke and libsoup began to send the request again.
+    bool isRestarted = false;
 
     ~Exchange()
     {
@@ -87,7 +89,11 @@
     };
     g_signal_connect(message, "starting", G_CALLBACK(onStarting), raw);
     // libsoup sends a request again by itself when a kept connection breaks. Only the caller side decides on that.
-    const auto onRestarted = +[](SoupMessage *, gpointer data) { g_cancellable_cancel(static_cast<Exchange *>(data)->cancellable); };
+    const auto onRestarted = +[](SoupMessage *, gpointer data) {
+        auto *restarted = static_cast<Exchange *>(data);
+        restarted->isRestarted = true;
+        g_cancellable_cancel(restarted->cancellable);
+    };
     g_signal_connect(message, "restarted", G_CALLBACK(onRestarted), raw);
     m_exchanges[localId] = std::move(exchange);
     const GAsyncReadyCallback onAnswer = [](GObject *session, GAsyncResult *result, gpointer data) {
@@ -150,8 +156,8 @@
     const std::unique_ptr<Exchange> exchange = std::move(found->second);
     m_exchanges.erase(found);
     if (error != nullptr) {
-        m_onEvent(
-            UpstreamRequestFailed {localId, exchange->isSent, isBrokenConnection(error), {ErrorCode::ConnectionClosed, error->message}});
+        m_onEvent(UpstreamRequestFailed {
+            localId, exchange->isSent, exchange->isRestarted || isBrokenConnection(error), {ErrorCode::ConnectionClosed, error->message}});
         return;
     }
     SoupMessageHeaders *headers = soup_message_get_response_headers(exchange->message);
--- a/Services/fuchsiastepd/main.cpp
+++ b/Services/fuchsiastepd/main.cpp
@@ -57,7 +57,9 @@
 {
     absl::SetProgramUsageMessage("The proxy of fuchsiastep, one beside each upstream.\nusage: fuchsiastepd --settings FILE [--check]");
     absl::FlagsUsageConfig usage;
-    usage.version_string = [] { return std::string("fuchsiastepd " FUCHSIASTEP_VERSION "\n"); };
+    usage.version_string = [] {
+        return std::string("fuchsiastepd " FUCHSIASTEP_VERSION "\n");
+    };
     absl::SetFlagsUsageConfig(usage);
     const std::vector<char *> rest = absl::ParseCommandLine(argc, argv);
     if (rest.size() > 1 || absl::GetFlag(FLAGS_settings).empty()) {
