--- a/Libraries/LibConfiguration/Configuration.h
+++ b/Libraries/LibConfiguration/Configuration.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include <LibConfiguration/Selector.h>
-#include <LibConfiguration/ServiceDeclaration.h>
-#include <LibConfiguration/UpstreamLabels.h>
+#include <LibConfiguration/DeclaredObject.h>
 #include <LibCore/Digest.h>
 #include <LibCore/Result.h>
 
@@ -10,9 +8,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
-#include <variant>
 #include <vector>
 
 namespace Fuchsiastep {
@@ -20,9 +18,6 @@
 /// Number of a configuration in the one sequence of accepted changes; 0 means none.
 using ConfigurationVersion = std::uint64_t;
 
-/// An object that operators declare.
-using DeclaredObject = std::variant<ServiceDeclaration, UpstreamLabels, Selector>;
-
 struct ConfigurationDelta;
 
 /// One whole configuration version. Immutable; versions share the objects and index parts that a change leaves alone,
@@ -47,16 +42,27 @@
     std::vector<std::shared_ptr<const Selector>> selectorsOf(std::string_view service) const;
     /// The upstream labels of one service, by upstream id.
     std::vector<std::shared_ptr<const UpstreamLabels>> upstreamLabelsOf(std::string_view service) const;
+    /// Nothing where there is no such object.
+    std::optional<DeclaredObject> object(const ObjectName &name) const;
+    /// Services, then upstream labels, then selectors; each by name.
     void forEachObject(const std::function<void(const DeclaredObject &)> &visit) const;
 
-    /// The configuration that \a delta leads to. All or nothing. Fails with BaseMismatch, DigestMismatch,
-    /// DanglingReference (a selector or upstream names a service that the result does not have) or ObjectMissing.
+    /// Calls \a visit with each service whose declaration, upstream labels or selectors differ from those of
+    /// \a other. Costs time in proportion to the difference where one is derived from the other.
+    void forEachChangedService(const Configuration &other, const std::function<void(const std::string &)> &visit) const;
+
+    /// The configuration that \a delta leads to. All or nothing. Fails with VersionTooLow, BaseMismatch, DigestMismatch
+    /// or DanglingReference (a selector or upstream names a service that the result does not have).
+    /// Removing a missing object has no effect, because a merged delta also removes what it would have
+    /// introduced; the digest shows whether the result is the right one.
     Result<Pointer> tryApply(const ConfigurationDelta &delta) const;
 
     /// msgpack of every object, in canonical order.
     std::string encode() const;
     /// Fails with DeclarationMalformed, DigestMismatch or DanglingReference.
     static Result<Pointer> tryDecode(std::string_view bytes, ConfigurationVersion version, const Digest &digest);
+    /// Fails with DuplicateObject, DigestMismatch or DanglingReference.
+    static Result<Pointer> tryBuild(const std::vector<DeclaredObject> &objects, ConfigurationVersion version, const Digest &digest);
 
     // The content is in Configuration.cpp.
     struct Content;
--- a/Libraries/LibConfiguration/ConfigurationDelta.h
+++ b/Libraries/LibConfiguration/ConfigurationDelta.h
@@ -10,23 +10,6 @@
 
 namespace Fuchsiastep {
 
-/// Kinds of declared objects.
-enum class ObjectKind : std::uint8_t {
-    Service = 0,
-    Upstream = 1,
-    Selector = 2,
-};
-
-/// Names an object: "selector/night-orders".
-struct ObjectName
-{
-    ObjectKind kind = ObjectKind::Service;
-    std::string name;
-
-    bool operator==(const ObjectName &) const = default;
-    auto operator<=>(const ObjectName &) const = default;
-};
-
 /// What leads from one configuration version to a later one.
 struct ConfigurationDelta
 {
@@ -40,6 +23,10 @@
 
     bool operator==(const ConfigurationDelta &) const = default;
 
+    /// The delta from \a base to the next version in which \a stored are new or replaced and \a removed are gone.
+    /// No object is named twice. The result is validated only when the delta is applied.
+    static ConfigurationDelta onTopOf(const Configuration &base, std::vector<DeclaredObject> stored, std::vector<ObjectName> removed);
+
     /// msgpack, for ConfigurationPushFrame and the rows change/<version>.
     std::string encode() const;
     /// Fails with DeclarationMalformed.
@@ -49,6 +36,8 @@
     /// not start from this delta's target. Only the result is validated when it is applied, so a merge
     /// skips a version that is not valid itself.
     Result<ConfigurationDelta> tryMerge(const ConfigurationDelta &next) const;
+    /// Merges a chain of one or more deltas in time proportional to their sum. Fails like tryMerge().
+    static Result<ConfigurationDelta> tryMergeChain(const std::vector<const ConfigurationDelta *> &chain);
 };
 
 } // namespace Fuchsiastep
--- a/Libraries/LibConfiguration/ConfigurationHolder.h
+++ b/Libraries/LibConfiguration/ConfigurationHolder.h
@@ -3,6 +3,7 @@
 #include <LibConfiguration/Configuration.h>
 #include <LibConfiguration/ConfigurationDelta.h>
 
+#include <cstddef>
 #include <deque>
 #include <optional>
 
@@ -16,7 +17,7 @@
 
     const Configuration::Pointer &current() const;
 
-    /// Fails with VersionTooLow, BaseMismatch, DigestMismatch, DanglingReference or ObjectMissing and then changes nothing.
+    /// Fails with VersionTooLow, BaseMismatch, DigestMismatch or DanglingReference and then changes nothing.
     Result<Done> tryApplyDelta(const ConfigurationDelta &delta);
     /// Fails with VersionTooLow and then changes nothing.
     Result<Done> tryAdopt(const Configuration::Pointer &configuration);
@@ -25,9 +26,26 @@
     /// Nothing where \a version with \a digest is not among them.
     std::optional<ConfigurationDelta> deltaFrom(ConfigurationVersion version, const Digest &digest) const;
 
+    /// Number and encoded size of the deltas that are kept.
+    std::size_t recentDeltaCount() const;
+    std::size_t recentDeltaBytes() const;
+
+    static constexpr std::size_t MaximumRecentDeltas = 512;
+    /// A merged delta is no longer than its parts, so that it fits one frame.
+    static constexpr std::size_t MaximumRecentBytes = 512 * 1024;
+
 private:
+    struct RecentDelta
+    {
+        ConfigurationDelta delta;
+        std::size_t bytes = 0;
+    };
+
+    void remember(const ConfigurationDelta &delta);
+
     Configuration::Pointer m_current;
-    std::deque<ConfigurationDelta> m_recentDeltas;
+    std::deque<RecentDelta> m_recentDeltas;
+    std::size_t m_recentBytes = 0;
 };
 
 } // namespace Fuchsiastep
