--- a/Libraries/LibConfiguration/MsgpackReader.h
+++ b/Libraries/LibConfiguration/MsgpackReader.h
@@ -47,6 +47,15 @@
     ObjectName takeObjectName();
     RouteRules takeRules();
     DeclaredObject takeObject();
+    /// The next item, an array that \a read reads completely.
+    template<typename Value>
+    Value takeNested(Value (*read)(MsgpackReader &))
+    {
+        MsgpackReader inner = nested();
+        Value value = read(inner);
+        check(inner);
+        return value;
+    }
     /// The next item, an array, calling \a read until it has no more items.
     void takeArray(const std::function<void(MsgpackReader &)> &read);
 
--- /dev/null
+++ b/Libraries/LibConfiguration/RuleNames.cpp
@@ -0,0 +1,41 @@
+#include <LibConfiguration/RuleNames.h>
+
+#include <array>
+
+namespace Fuchsiastep {
+
+static constexpr std::array<std::string_view, 3> PriorityNames {"low", "normal", "high"};
+static constexpr std::array<std::string_view, 3> LocalityNames {"nearest", "data-centre-only", "anywhere"};
+
+template<typename Enumeration>
+static std::optional<Enumeration> findName(const std::array<std::string_view, 3> &names, std::string_view name)
+{
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        if (names[i] == name) {
+            return static_cast<Enumeration>(i);
+        }
+    }
+    return std::nullopt;
+}
+
+std::string_view priorityName(RequestPriority priority)
+{
+    return PriorityNames.at(static_cast<std::size_t>(priority));
+}
+
+std::optional<RequestPriority> priorityFromName(std::string_view name)
+{
+    return findName<RequestPriority>(PriorityNames, name);
+}
+
+std::string_view localityName(LocalityPreference locality)
+{
+    return LocalityNames.at(static_cast<std::size_t>(locality));
+}
+
+std::optional<LocalityPreference> localityFromName(std::string_view name)
+{
+    return findName<LocalityPreference>(LocalityNames, name);
+}
+
+} // namespace Fuchsiastep
