--- /dev/null
+++ b/Libraries/LibMembership/RingRange.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <LibMembership/MembershipTable.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Fuchsiastep {
+
+/// An inclusive range of the hash ring on which members have positions.
+struct RingRange
+{
+    std::uint64_t begin = 0;
+    std::uint64_t end = std::numeric_limits<std::uint64_t>::max();
+
+    bool contains(std::uint64_t position) const
+    {
+        return begin <= position && position <= end;
+    }
+    bool isEmpty() const
+    {
+        return begin > end;
+    }
+    bool operator==(const RingRange &) const = default;
+};
+
+std::uint64_t ringPosition(std::string_view proxyId);
+
+/// Live peers of the own data centre whose position is in \a range, by position.
+std::vector<std::string> peersInRange(const MembershipTable &table, const RingRange &range);
+
+/// Splits \a range into at most \a parts ranges that hold about the same number of known peers. Together they cover the
+/// whole range, so that a delegate also reaches members that this proxy does not know. Empty where no peer is known.
+std::vector<RingRange> splitRange(const MembershipTable &table, const RingRange &range, std::size_t parts);
+
+} // namespace Fuchsiastep
