--- a/Libraries/LibMembership/ConfigurationPuller.cpp
+++ b/Libraries/LibMembership/ConfigurationPuller.cpp
@@ -17,6 +17,7 @@
     , m_clock(clock)
     , m_random(random)
     , m_backoff(settings.pullBackoff, settings.pullBackoffCap)
+    , m_timeout(settings.pullTimeout)
 { }
 
 void ConfigurationPuller::seen(const std::string &peer, const VersionStamp &stamp, const VersionStamp &held)
@@ -41,6 +42,7 @@
     std::erase_if(m_candidates, [&](const auto &candidate) { return candidate.second.version <= held.version; });
     m_isSnapshotDemanded = false;
     m_backoff.reset();
+    m_timeout = m_settings.pullTimeout;
     if (m_candidates.empty()) {
         m_due.reset();
         m_pull.reset();
@@ -87,8 +89,7 @@
     }
 }
 
-std::optional<ConfigurationPuller::Snapshot> ConfigurationPuller::received(
-    const std::string &peer, const ConfigurationSnapshotFrame &part)
+std::optional<ConfigurationPuller::Snapshot> ConfigurationPuller::received(const std::string &peer, const ConfigurationSnapshotFrame &part)
 {
     if (!m_pull || m_pull->peer != peer) {
         return std::nullopt;
@@ -99,7 +100,7 @@
         m_pull->content.clear();
     }
     m_pull->content += part.content;
-    m_pull->deadline = m_clock.now() + m_settings.pullTimeout;
+    m_pull->deadline = m_clock.now() + m_settings.pullTimeoutCap;
     if (m_pull->content.size() > MaximumSnapshotBytes) {
         abandon(peer);
         return std::nullopt;
@@ -117,22 +118,30 @@
 {
     const TimePoint now = m_clock.now();
     if (m_pull && now >= m_pull->deadline) {
-        const std::string peer = m_pull->peer;
-        abandon(peer);
+        m_timedOutPeer = m_pull->peer;
+        m_pull.reset();
+        // The timeout has spaced the pulls already; the growing backoff is for peers that answer.
+        m_timeout = std::min(m_timeout * 2, m_settings.pullTimeoutCap);
+        m_due = now + m_random.jitter(m_settings.pullBackoff);
     }
     if (m_pull || !m_due || now < *m_due) {
         return {};
     }
     m_due.reset();
     const std::optional<std::string> peer = choosePeer(held);
-    if (!peer) {
+    return peer ? pullFrom(*peer, held) : std::vector<DistributorOutput>();
+}
+
+std::vector<DistributorOutput> ConfigurationPuller::pullFrom(const std::string &peer, const VersionStamp &held)
+{
+    if (m_pull) {
         return {};
     }
-    m_pull = Pull {*peer, now + m_settings.pullTimeout};
+    m_pull = Pull {peer, m_clock.now() + m_timeout};
     if (m_isSnapshotDemanded) {
-        return {SendFrame {*peer, ConfigurationPullFrame {}}};
+        return {SendFrame {peer, ConfigurationPullFrame {}}};
     }
-    return {SendFrame {*peer, ConfigurationPullFrame {held.version, held.digest}}};
+    return {SendFrame {peer, ConfigurationPullFrame {held.version, held.digest}}};
 }
 
 std::optional<TimePoint> ConfigurationPuller::nextDeadline() const
@@ -167,6 +176,10 @@
 
 std::optional<std::string> ConfigurationPuller::choosePeer(const VersionStamp &held)
 {
+    std::erase_if(m_candidates, [this](const auto &candidate) {
+        const MemberRecord *record = m_table.find(candidate.first);
+        return record != nullptr && !memberStateInfo(record->state).isLive;
+    });
     ConfigurationVersion highest = held.version;
     for (const auto &[peer, stamp] : m_candidates) {
         highest = std::max(highest, stamp.version);
@@ -177,6 +190,10 @@
             peers.push_back(peer);
         }
     }
+    // A peer that did not answer is asked again only where no other one has the version.
+    if (peers.size() > 1) {
+        std::erase(peers, m_timedOutPeer);
+    }
     if (!peers.empty()) {
         return peers[m_random.below(peers.size())];
     }
--- a/Libraries/LibMembership/ConfigurationPuller.h
+++ b/Libraries/LibMembership/ConfigurationPuller.h
@@ -31,10 +31,13 @@
     void seen(const std::string &peer, const VersionStamp &stamp, const VersionStamp &held);
     /// The proxy holds nothing and learnt of a peer, so that it asks without waiting.
     void askAtOnce();
+    /// Pulls from \a peer now, whatever it holds, unless a pull is in progress.
+    std::vector<DistributorOutput> pullFrom(const std::string &peer, const VersionStamp &held);
     /// This proxy moved to \a held.
     void adopted(const VersionStamp &held);
     /// The content of \a stamp was refused; it is left alone for a while.
     void refused(const VersionStamp &stamp);
+    bool isRefused(const VersionStamp &stamp);
     /// What was held could not be combined with a delta, so that the next pull asks for a snapshot.
     void demandSnapshot(const std::string &peer, const VersionStamp &stamp, const VersionStamp &held);
 
@@ -66,7 +69,6 @@
     void scheduleWithin(Duration wait);
     void retry();
     void abandon(const std::string &peer);
-    bool isRefused(const VersionStamp &stamp);
     std::optional<std::string> choosePeer(const VersionStamp &held);
     std::optional<std::string> chooseAnyPeer();
 
@@ -75,10 +77,13 @@
     const Clock &m_clock;
     Random &m_random;
     RetryBackoff m_backoff;
+    /// Time for the next pull to be answered; it grows while pulls are not answered.
+    Duration m_timeout;
     std::map<std::string, VersionStamp> m_candidates;
     std::vector<std::pair<VersionStamp, TimePoint>> m_refused;
     std::optional<TimePoint> m_due;
     std::optional<Pull> m_pull;
+    std::string m_timedOutPeer;
     std::size_t m_firstPulls = 0;
     bool m_isSnapshotDemanded = false;
 };
--- a/Libraries/LibMembership/Distributor.cpp
+++ b/Libraries/LibMembership/Distributor.cpp
@@ -2,7 +2,6 @@
 
 #include <LibCore/Result.h>
 #include <LibMembership/RendezvousHash.h>
-#include <LibMembership/VersionQuery.h>
 
 #include <algorithm>
 #include <utility>
@@ -85,16 +84,15 @@
 
 void Distributor::accept(const PeerFrame &frame)
 {
-    std::visit(Overloaded {
-                   [&](const ConfigurationPushFrame &push) { acceptPush(frame.peer, push); },
-                   [&](const ConfigurationAckFrame &ack) { acceptAck(frame.peer, ack); },
-                   [&](const ConfigurationPullFrame &pull) { acceptPull(frame.peer, pull); },
-                   [&](const ConfigurationSnapshotFrame &part) { acceptSnapshot(frame.peer, part); },
-                   [&](const SnapshotDeferredFrame &deferral) {
-                       m_puller.deferred(frame.peer, std::chrono::milliseconds(deferral.retryAfterMs));
-                   },
-                   [](const auto &) { /* Other frames concern other decision objects. */ },
-               },
+    std::visit(
+        Overloaded {
+            [&](const ConfigurationPushFrame &push) { acceptPush(frame.peer, push); },
+            [&](const ConfigurationAckFrame &ack) { acceptAck(frame.peer, ack); },
+            [&](const ConfigurationPullFrame &pull) { acceptPull(frame.peer, pull); },
+            [&](const ConfigurationSnapshotFrame &part) { acceptSnapshot(frame.peer, part); },
+            [&](const SnapshotDeferredFrame &deferral) { m_puller.deferred(frame.peer, std::chrono::milliseconds(deferral.retryAfterMs)); },
+            [](const auto &) { /* Other frames concern other decision objects. */ },
+        },
         frame.frame);
 }
 
@@ -234,8 +232,8 @@
 void Distributor::rejectPushed(const std::string &peer, const ConfigurationDelta &delta, const Error &error)
 {
     const VersionStamp target {delta.targetVersion, delta.targetDigest};
-    if (error.code == ErrorCode::BaseMismatch && delta.baseVersion > held().version) {
-        // An earlier push is late or was lost; nothing is wrong with this one.
+    if (error.code == ErrorCode::BaseMismatch && delta.baseVersion != held().version) {
+        // An earlier push is late or was lost, or a later one came first; nothing is wrong with this one.
         m_puller.seen(peer, target, held());
         return;
     }
@@ -257,7 +255,8 @@
         range = isAdopted ? RingRange {} : RingRange {1, 0};
     }
     // A later version is on its way to the same members by itself.
-    if (range.isEmpty() || held().version > push.targetVersion) {
+    const bool isRefused = m_puller.isRefused({push.targetVersion, push.targetDigest});
+    if (range.isEmpty() || isRefused || held().version > push.targetVersion) {
         return;
     }
     const HandledPush handled {{push.targetVersion, push.targetDigest}, range};
@@ -274,7 +273,7 @@
 void Distributor::acceptAck(const std::string &peer, const ConfigurationAckFrame &ack)
 {
     m_broadcast.acknowledged(peer, ack.version);
-    m_snapshots.finished(peer);
+    m_snapshots.acknowledged(peer, ack);
     if (ack.isHeld && m_holdStep) {
         m_holdStep->acknowledged(peer, ack.version);
         runHoldStep();
@@ -311,8 +310,8 @@
 
 void Distributor::finishSnapshot(const std::string &peer, const ConfigurationPuller::Snapshot &snapshot)
 {
-    const Result<Configuration::Pointer> decoded
-        = Configuration::tryDecode(snapshot.content, snapshot.stamp.version, snapshot.stamp.digest);
+    const Result<Configuration::Pointer> decoded =
+        Configuration::tryDecode(snapshot.content, snapshot.stamp.version, snapshot.stamp.digest);
     const Result<Done> result = isError(decoded) ? Result<Done>(errorOf(decoded)) : m_holder.tryAdopt(valueOf(decoded));
     // The acknowledgement frees the place of the snapshot at the peer, whether it was of use or not.
     send(peer, ConfigurationAckFrame {snapshot.stamp.version, held().version >= snapshot.stamp.version});
@@ -343,7 +342,7 @@
         }
     }
     if (!readers.empty()) {
-        send(readers[m_random.below(readers.size())], versionQuery());
+        append(m_puller.pullFrom(readers[m_random.below(readers.size())], held()));
     }
 }
 
--- a/Libraries/LibMembership/DistributorSettings.h
+++ b/Libraries/LibMembership/DistributorSettings.h
@@ -23,8 +23,10 @@
 
     /// Longest wait before a pull, so that a push that is under way arrives first.
     Duration pullJitter = std::chrono::milliseconds(400);
-    /// Time for a peer to answer a pull, and between two parts of a snapshot.
-    Duration pullTimeout = std::chrono::seconds(1);
+    /// Time for a peer to answer a pull before another one is asked. It doubles with each timeout up to the cap.
+    Duration pullTimeout = std::chrono::milliseconds(400);
+    /// Also the longest time between two parts of a snapshot.
+    Duration pullTimeoutCap = std::chrono::seconds(1);
     Duration pullBackoff = std::chrono::milliseconds(100);
     Duration pullBackoffCap = std::chrono::seconds(2);
     /// Pulls by a proxy that holds nothing and has heard of no version.
--- a/Libraries/LibMembership/FailureDetector.cpp
+++ b/Libraries/LibMembership/FailureDetector.cpp
@@ -377,9 +377,8 @@
         return true;
     }
     const auto peers = m_table.livePeers();
-    const bool canBeConfirmed = std::any_of(peers.begin(), peers.end(), [](const MemberRecord *peer) {
-        return peer->state != MemberState::Suspect;
-    });
+    const bool canBeConfirmed =
+        std::any_of(peers.begin(), peers.end(), [](const MemberRecord *peer) { return peer->state != MemberState::Suspect; });
     return !canBeConfirmed && suspicion.accuserCount() == 1 && m_outsideReachedAt && *m_outsideReachedAt >= suspicion.startedAt();
 }
 
--- a/Libraries/LibMembership/FailureDetectorMessages.h
+++ b/Libraries/LibMembership/FailureDetectorMessages.h
@@ -47,8 +47,8 @@
 struct OutsideReached
 { };
 
-using FailureDetectorInput = std::
-    variant<ReceivedProbe, MergeRecords, HeldVersionChanged, OwnRecordChanged, LeaveRequested, CrashSuspectRecorded, OutsideReached>;
+using FailureDetectorInput =
+    std::variant<ReceivedProbe, MergeRecords, HeldVersionChanged, OwnRecordChanged, LeaveRequested, CrashSuspectRecorded, OutsideReached>;
 
 struct SendProbe
 {
@@ -84,7 +84,13 @@
     Error error;
 };
 
-using FailureDetectorOutput = std::
-    variant<SendProbe, MemberChange, PeerVersion, CrashSuspectLearned, IsolationSuspected, IsolationEnded, FreezeDetected, OwnRecordRejected>;
+using FailureDetectorOutput = std::variant<SendProbe,
+    MemberChange,
+    PeerVersion,
+    CrashSuspectLearned,
+    IsolationSuspected,
+    IsolationEnded,
+    FreezeDetected,
+    OwnRecordRejected>;
 
 } // namespace Fuchsiastep
--- a/Libraries/LibMembership/MemberRecordCodec.cpp
+++ b/Libraries/LibMembership/MemberRecordCodec.cpp
@@ -2,160 +2,138 @@
 
 #include <LibMembership/MemberRecordFields.h>
 
+#include <algorithm>
+#include <limits>
+#include <span>
+
 namespace Fuchsiastep {
 
 static constexpr std::size_t RecordFields = 9;
 static constexpr std::size_t EndpointFields = 7;
 /// Bytes of a MembershipSync content beside its records.
 static constexpr std::size_t SyncOverheadBytes = 16;
+/// Longest MembershipSync content that is read, in bytes.
+static constexpr std::size_t MaximumContentBytes = 1024 * 1024;
 
-static void writeEndpoint(FieldWriter &writer, const MemberRecord &record)
+static void writeEndpoint(MsgpackWriter &writer, const MemberRecord &record)
 {
+    if (!record.endpoint) {
+        writer.beginArray(0);
+        return;
+    }
     const Endpoint &endpoint = *record.endpoint;
     writer.beginArray(EndpointFields);
-    writer.put(endpoint.upstreamId);
-    writer.put(endpoint.service);
+    writer.put(std::string_view(endpoint.upstreamId));
+    writer.put(std::string_view(endpoint.service));
     // The incarnation of the process, as the difference that refutations made; mostly 0.
     writer.put(record.incarnation - endpoint.incarnation);
-    writer.beginMap(endpoint.labels.size());
-    for (const auto &[name, value] : endpoint.labels) {
-        writer.put(name);
-        writer.put(value);
-    }
+    writer.put(endpoint.labels);
     writer.put(std::uint64_t {endpoint.slots});
     writer.put(endpoint.isDraining);
     writer.put(std::uint64_t {endpoint.ageMsWhenSeen});
 }
 
-static bool readEndpoint(const msgpack::object &object, MemberRecord &record)
+static void takeEndpoint(MsgpackReader &reader, MemberRecord &record)
 {
-    FieldReader reader(object, EndpointFields, EndpointFields);
-    Endpoint endpoint;
-    std::uint64_t refutations = 0;
-    reader.take(endpoint.upstreamId);
-    reader.take(endpoint.service);
-    reader.takeNumber(refutations);
-    reader.take(endpoint.labels);
-    reader.takeNumber(endpoint.slots);
-    reader.take(endpoint.isDraining);
-    reader.takeNumber(endpoint.ageMsWhenSeen);
-    endpoint.incarnation = record.incarnation - refutations;
-    record.endpoint = std::move(endpoint);
-    completeEndpoint(record);
-    return reader.ok();
+    constexpr std::uint64_t MaximumNumber = std::numeric_limits<std::uint32_t>::max();
+    reader.takeArray([&](MsgpackReader &fields) {
+        Endpoint endpoint;
+        endpoint.upstreamId = fields.takeString();
+        endpoint.service = fields.takeString();
+        endpoint.incarnation = record.incarnation - fields.takeUnsigned();
+        endpoint.labels = fields.takeLabels();
+        endpoint.slots = static_cast<std::uint32_t>(fields.takeUnsigned(MaximumNumber));
+        endpoint.isDraining = fields.takeBool();
+        endpoint.ageMsWhenSeen = static_cast<std::uint32_t>(fields.takeUnsigned(MaximumNumber));
+        record.endpoint = std::move(endpoint);
+        completeEndpoint(record);
+    });
 }
 
-void writeRecord(FieldWriter &writer, const MemberRecord &record)
+void writeRecord(MsgpackWriter &writer, const MemberRecord &record)
 {
     writer.beginArray(RecordFields);
-    writer.put(record.proxyId);
+    writer.put(std::string_view(record.proxyId));
     writer.put(record.incarnation);
     writer.put(record.sequence);
-    writer.put(static_cast<std::uint64_t>(record.state));
-    writer.put(record.address.ip);
+    writer.putEnumerator(record.state);
+    writer.put(std::string_view(record.address.ip));
     writer.put(std::uint64_t {record.address.port});
-    writer.put(record.dataCentre);
-    writer.put(record.region);
-    if (record.endpoint) {
-        writeEndpoint(writer, record);
-    } else {
-        writer.putNil();
-    }
+    writer.put(std::string_view(record.dataCentre));
+    writer.put(std::string_view(record.region));
+    writeEndpoint(writer, record);
 }
 
-bool readRecord(const msgpack::object &object, MemberRecord &record)
+MemberRecord takeRecord(MsgpackReader &reader)
 {
-    FieldReader reader(object, RecordFields, RecordFields);
-    reader.take(record.proxyId);
-    reader.takeNumber(record.incarnation);
-    reader.takeNumber(record.sequence);
-    reader.takeEnumerator(record.state, MemberState::Failed);
-    reader.take(record.address.ip);
-    reader.takeNumber(record.address.port);
-    reader.take(record.dataCentre);
-    reader.take(record.region);
-    const msgpack::object *endpoint = reader.next();
-    if (!reader.ok() || record.proxyId.empty()) {
-        return false;
-    }
-    return endpoint->type == msgpack::type::NIL || readEndpoint(*endpoint, record);
+    MemberRecord record;
+    reader.takeArray([&](MsgpackReader &fields) {
+        record.proxyId = fields.takeString();
+        record.incarnation = fields.takeUnsigned();
+        record.sequence = fields.takeUnsigned();
+        record.state = fields.takeEnumerator(MemberState::Failed);
+        record.address.ip = fields.takeString();
+        record.address.port = static_cast<std::uint16_t>(fields.takeUnsigned(std::numeric_limits<std::uint16_t>::max()));
+        record.dataCentre = fields.takeString();
+        record.region = fields.takeString();
+        takeEndpoint(fields, record);
+    });
+    return record;
 }
 
 std::string encodeMemberRecord(const MemberRecord &record)
 {
-    FieldWriter writer;
+    MsgpackWriter writer;
     writeRecord(writer, record);
-    return writer.bytes();
+    return writer.take();
 }
 
-Result<MemberRecord> tryDecodeMemberRecord(std::string_view bytes)
+static std::string encodeSyncPart(MemberSyncKind kind, std::span<const MemberRecord> records)
 {
-    return tryUnpack<MemberRecord>(bytes, [](const msgpack::object &object) -> Result<MemberRecord> {
-        MemberRecord record;
-        if (!readRecord(object, record)) {
-            return Error {ErrorCode::FrameMalformed, "member record"};
-        }
-        return record;
-    });
-}
-
-static std::string encodeSyncPart(MemberSyncKind kind, const std::vector<std::string> &records)
-{
-    FieldWriter writer;
+    MsgpackWriter writer;
     writer.beginArray(2);
-    writer.put(static_cast<std::uint64_t>(kind));
+    writer.putEnumerator(kind);
     writer.beginArray(records.size());
-    for (const std::string &record : records) {
-        writer.putPacked(record);
+    for (const MemberRecord &record : records) {
+        writeRecord(writer, record);
     }
-    return writer.bytes();
+    return writer.take();
 }
 
 std::vector<std::string> encodeMemberSync(const MemberSync &sync, std::size_t maximumBytes)
 {
+    const std::span<const MemberRecord> records(sync.records);
     std::vector<std::string> parts;
-    std::vector<std::string> packed;
+    std::size_t begin = 0;
     std::size_t bytes = SyncOverheadBytes;
-    for (const MemberRecord &record : sync.records) {
-        std::string next = encodeMemberRecord(record);
-        if (bytes + next.size() > maximumBytes && !packed.empty()) {
-            parts.push_back(encodeSyncPart(sync.kind, packed));
-            packed.clear();
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        const std::size_t next = encodeMemberRecord(records[i]).size();
+        if (bytes + next > maximumBytes && i > begin) {
+            parts.push_back(encodeSyncPart(sync.kind, records.subspan(begin, i - begin)));
+            begin = i;
             bytes = SyncOverheadBytes;
         }
-        bytes += next.size();
-        packed.push_back(std::move(next));
-    }
-    if (!packed.empty() || parts.empty()) {
-        parts.push_back(encodeSyncPart(sync.kind, packed));
+        bytes += next;
     }
+    parts.push_back(encodeSyncPart(sync.kind, records.subspan(begin)));
     return parts;
 }
 
-static Result<MemberSync> tryReadSync(const msgpack::object &object)
+Result<MemberSync> tryDecodeMemberSync(std::string_view bytes)
 {
     MemberSync sync;
-    FieldReader reader(object, 2, 2);
-    reader.takeEnumerator(sync.kind, MemberSyncKind::ExchangeAnswer);
-    const msgpack::object *list = reader.next();
-    if (!reader.ok() || list->type != msgpack::type::ARRAY) {
+    const bool isRead = readMsgpack(bytes, MaximumContentBytes, [&](MsgpackReader &reader) {
+        sync.kind = reader.takeEnumerator(MemberSyncKind::ExchangeAnswer);
+        reader.takeArray([&](MsgpackReader &list) { sync.records.push_back(takeRecord(list)); });
+    });
+    const bool isNamed =
+        std::none_of(sync.records.begin(), sync.records.end(), [](const MemberRecord &record) { return record.proxyId.empty(); });
+    if (!isRead || !isNamed) {
         return Error {ErrorCode::FrameMalformed, "membership sync"};
     }
-    for (std::uint32_t i = 0; i < list->via.array.size; ++i) {
-        MemberRecord record;
-        if (!readRecord(list->via.array.ptr[i], record)) {
-            return Error {ErrorCode::FrameMalformed, "member record " + std::to_string(i)};
-        }
-        sync.records.push_back(std::move(record));
-    }
     return sync;
 }
 
-Result<MemberSync> tryDecodeMemberSync(std::string_view bytes)
-{
-    return tryUnpack<MemberSync>(bytes, tryReadSync);
-}
-
 void completeEndpoint(MemberRecord &record)
 {
     if (!record.endpoint) {
--- a/Libraries/LibMembership/MemberRecordCodec.h
+++ b/Libraries/LibMembership/MemberRecordCodec.h
@@ -18,8 +18,6 @@
 
 /// msgpack of one record. Fields of the endpoint that repeat the record are left out.
 std::string encodeMemberRecord(const MemberRecord &record);
-/// Fails with FrameMalformed.
-Result<MemberRecord> tryDecodeMemberRecord(std::string_view bytes);
 
 /// Contents of MembershipSync frames for \a sync: at least one, each at most \a maximumBytes long.
 std::vector<std::string> encodeMemberSync(const MemberSync &sync, std::size_t maximumBytes = MaximumSyncBytes);
--- a/Libraries/LibMembership/MemberRecordFields.h
+++ b/Libraries/LibMembership/MemberRecordFields.h
@@ -2,14 +2,14 @@
 
 // Included by codec sources only: the msgpack headers are slow to compile.
 
-#include <LibMembership/FieldReader.h>
-#include <LibMembership/FieldWriter.h>
+#include <LibConfiguration/MsgpackReader.h>
+#include <LibConfiguration/MsgpackWriter.h>
 #include <LibMembership/MemberRecord.h>
 
 namespace Fuchsiastep {
 
-void writeRecord(FieldWriter &writer, const MemberRecord &record);
-/// False where \a object is no member record.
-bool readRecord(const msgpack::object &object, MemberRecord &record);
+void writeRecord(MsgpackWriter &writer, const MemberRecord &record);
+/// Reads the next item of \a reader. A record without an id is not valid; the caller checks that.
+MemberRecord takeRecord(MsgpackReader &reader);
 
 } // namespace Fuchsiastep
--- a/Libraries/LibMembership/MembershipTable.cpp
+++ b/Libraries/LibMembership/MembershipTable.cpp
@@ -11,9 +11,7 @@
 }
 
 MembershipTable::MembershipTable(MemberRecord self, const Clock &clock, Duration tombstoneTime)
-    : m_clock(clock)
-    , m_tombstoneTime(tombstoneTime)
-    , m_selfId(self.proxyId)
+    : m_clock(clock), m_tombstoneTime(tombstoneTime), m_selfId(self.proxyId)
 {
     merge(self);
 }
--- a/Libraries/LibMembership/ProbeCodec.cpp
+++ b/Libraries/LibMembership/ProbeCodec.cpp
@@ -3,6 +3,9 @@
 #include <LibMembership/MemberRecordFields.h>
 #include <LibWire/DatagramSocket.h>
 
+#include <algorithm>
+#include <optional>
+
 namespace Fuchsiastep {
 
 namespace {
@@ -16,28 +19,28 @@
 constexpr std::size_t CargoFields = 5;
 constexpr std::size_t CrashSuspectFields = 4;
 
-void writeUpdate(FieldWriter &writer, const MemberUpdate &update)
+void writeUpdate(MsgpackWriter &writer, const MemberUpdate &update)
 {
-    writer.beginArray(update.accuser.empty() ? 1 : 2);
+    writer.beginArray(2);
     writeRecord(writer, update.record);
-    if (!update.accuser.empty()) {
-        writer.put(update.accuser);
-    }
+    writer.put(std::string_view(update.accuser));
 }
 
-void writeCrashSuspect(FieldWriter &writer, const CrashSuspectEntry &entry)
+void writeCrashSuspect(MsgpackWriter &writer, const CrashSuspectEntry &entry)
 {
     writer.beginArray(CrashSuspectFields);
     writer.put(entry.fingerprint);
     writer.put(std::uint64_t {entry.count});
-    writer.put(static_cast<std::uint64_t>(entry.unixMilliseconds));
+    writer.put(std::int64_t {entry.unixMilliseconds});
     writer.put(entry.isBlamed);
 }
 
-void writeCargo(FieldWriter &writer, const ProbeCargo &cargo)
+void begin(MsgpackWriter &writer, ProbeKind kind, std::size_t fields, const ProbeCargo &cargo, std::uint64_t sequence)
 {
+    writer.beginArray(fields);
+    writer.putEnumerator(kind);
     writer.beginArray(CargoFields);
-    writer.put(cargo.senderId);
+    writer.put(std::string_view(cargo.senderId));
     writer.put(std::uint64_t {cargo.held.version});
     writer.put(cargo.held.digest);
     writer.beginArray(cargo.updates.size());
@@ -48,157 +51,127 @@
     for (const CrashSuspectEntry &entry : cargo.crashSuspects) {
         writeCrashSuspect(writer, entry);
     }
-}
-
-void begin(FieldWriter &writer, ProbeKind kind, std::size_t fields, const ProbeCargo &cargo, std::uint64_t sequence)
-{
-    writer.beginArray(fields);
-    writer.put(static_cast<std::uint64_t>(kind));
-    writeCargo(writer, cargo);
     writer.put(sequence);
 }
 
-bool readUpdate(const msgpack::object &object, MemberUpdate &update)
+MemberUpdate takeUpdate(MsgpackReader &reader)
 {
-    FieldReader reader(object, 1, 2);
-    const msgpack::object *record = reader.next();
-    if (record == nullptr || !readRecord(*record, update.record)) {
-        return false;
-    }
-    if (!reader.isAtEnd()) {
-        reader.take(update.accuser);
-    }
-    return reader.ok();
+    MemberUpdate update;
+    reader.takeArray([&](MsgpackReader &fields) {
+        update.record = takeRecord(fields);
+        update.accuser = fields.takeString();
+    });
+    return update;
 }
 
-bool readCrashSuspect(const msgpack::object &object, CrashSuspectEntry &entry)
+CrashSuspectEntry takeCrashSuspect(MsgpackReader &reader)
 {
-    FieldReader reader(object, CrashSuspectFields, CrashSuspectFields);
-    reader.takeNumber(entry.fingerprint);
-    reader.takeNumber(entry.count);
-    reader.takeNumber(entry.unixMilliseconds);
-    reader.take(entry.isBlamed);
-    return reader.ok();
+    CrashSuspectEntry entry;
+    reader.takeArray([&](MsgpackReader &fields) {
+        entry.fingerprint = fields.takeUnsigned();
+        entry.count = static_cast<std::uint32_t>(fields.takeUnsigned(std::numeric_limits<std::uint32_t>::max()));
+        entry.unixMilliseconds = fields.takeSigned(0, std::numeric_limits<std::int64_t>::max());
+        entry.isBlamed = fields.takeBool();
+    });
+    return entry;
 }
 
-template<typename Item, typename Read>
-void readList(FieldReader &reader, std::vector<Item> &items, Read read)
+ProbeCargo takeCargo(MsgpackReader &reader)
 {
-    const msgpack::object *list = reader.next();
-    if (list == nullptr || list->type != msgpack::type::ARRAY) {
-        reader.fail();
-        return;
-    }
-    for (std::uint32_t i = 0; i < list->via.array.size; ++i) {
-        Item item;
-        if (!read(list->via.array.ptr[i], item)) {
-            reader.fail();
-            return;
-        }
-        items.push_back(std::move(item));
-    }
+    ProbeCargo cargo;
+    reader.takeArray([&](MsgpackReader &fields) {
+        cargo.senderId = fields.takeString();
+        cargo.held.version = fields.takeUnsigned();
+        cargo.held.digest = fields.takeDigest();
+        fields.takeArray([&](MsgpackReader &list) { cargo.updates.push_back(takeUpdate(list)); });
+        fields.takeArray([&](MsgpackReader &list) { cargo.crashSuspects.push_back(takeCrashSuspect(list)); });
+    });
+    return cargo;
 }
 
-void readCargo(FieldReader &datagram, ProbeCargo &cargo)
+bool isValid(const ProbeCargo &cargo)
 {
-    const msgpack::object *object = datagram.next();
-    if (object == nullptr) {
-        return;
-    }
-    FieldReader reader(*object, CargoFields, CargoFields);
-    reader.take(cargo.senderId);
-    reader.takeNumber(cargo.held.version);
-    reader.take(cargo.held.digest);
-    readList(reader, cargo.updates, readUpdate);
-    readList(reader, cargo.crashSuspects, readCrashSuspect);
-    if (!reader.ok()) {
-        datagram.fail();
-    }
+    return !cargo.senderId.empty() && std::none_of(cargo.updates.begin(), cargo.updates.end(), [](const MemberUpdate &update) {
+        return update.record.proxyId.empty();
+    });
 }
 
-template<typename Datagram>
-Result<ProbeDatagram> tryFinish(const FieldReader &reader, Datagram datagram)
+SocketAddress takeAddress(MsgpackReader &reader)
 {
-    if (!reader.ok() || !reader.isAtEnd()) {
-        return Error {ErrorCode::FrameMalformed, "a field of the probe has the wrong type or range"};
-    }
-    return ProbeDatagram(std::move(datagram));
+    SocketAddress address;
+    address.ip = reader.takeString();
+    address.port = static_cast<std::uint16_t>(reader.takeUnsigned(std::numeric_limits<std::uint16_t>::max()));
+    return address;
 }
 
-Result<ProbeDatagram> tryReadProbe(const msgpack::object &object)
+/// Nothing where the kind of the probe is not known.
+std::optional<ProbeDatagram> takeProbe(MsgpackReader &reader)
 {
-    constexpr std::size_t LeastFields = 4;
-    constexpr std::size_t MostFields = 6;
-    FieldReader reader(object, LeastFields, MostFields);
-    std::uint8_t kind = 0;
-    ProbeCargo cargo;
-    std::uint64_t sequence = 0;
-    std::string id;
-    reader.takeNumber(kind);
-    readCargo(reader, cargo);
-    reader.takeNumber(sequence);
-    reader.take(id);
-    switch (static_cast<ProbeKind>(kind)) {
+    const auto kind = static_cast<ProbeKind>(reader.takeUnsigned(std::numeric_limits<std::uint8_t>::max()));
+    ProbeCargo cargo = takeCargo(reader);
+    const std::uint64_t sequence = reader.takeUnsigned();
+    std::string id = reader.takeString();
+    if (!isValid(cargo)) {
+        return std::nullopt;
+    }
+    switch (kind) {
     case ProbeKind::Ping:
-        return tryFinish(reader, Ping {std::move(cargo), sequence, std::move(id)});
-    case ProbeKind::Ack:
-        return tryFinish(reader, Ack {std::move(cargo), sequence, std::move(id)});
+        return Ping {std::move(cargo), sequence, std::move(id)};
     case ProbeKind::PingRequest:
-        break;
-    default:
-        return Error {ErrorCode::FrameMalformed, "unknown kind of probe"};
+        return PingRequest {std::move(cargo), sequence, std::move(id), takeAddress(reader)};
+    case ProbeKind::Ack:
+        return Ack {std::move(cargo), sequence, std::move(id)};
     }
-    SocketAddress target;
-    reader.take(target.ip);
-    reader.takeNumber(target.port);
-    return tryFinish(reader, PingRequest {std::move(cargo), sequence, std::move(id), std::move(target)});
+    return std::nullopt;
 }
 
 } // namespace
 
 std::string encodeProbe(const ProbeDatagram &datagram)
 {
-    FieldWriter writer;
+    MsgpackWriter writer;
     std::visit(Overloaded {
                    [&](const Ping &ping) {
                        begin(writer, ProbeKind::Ping, 4, ping.cargo, ping.sequence);
-                       writer.put(ping.targetId);
+                       writer.put(std::string_view(ping.targetId));
                    },
                    [&](const PingRequest &request) {
                        begin(writer, ProbeKind::PingRequest, 6, request.cargo, request.sequence);
-                       writer.put(request.targetId);
-                       writer.put(request.target.ip);
+                       writer.put(std::string_view(request.targetId));
+                       writer.put(std::string_view(request.target.ip));
                        writer.put(std::uint64_t {request.target.port});
                    },
                    [&](const Ack &ack) {
                        begin(writer, ProbeKind::Ack, 4, ack.cargo, ack.sequence);
-                       writer.put(ack.subjectId);
+                       writer.put(std::string_view(ack.subjectId));
                    },
                },
         datagram);
-    return writer.bytes();
+    return writer.take();
 }
 
 Result<ProbeDatagram> tryDecodeProbe(std::string_view bytes)
 {
-    if (bytes.size() > MaximumDatagramBytes) {
-        return Error {ErrorCode::FrameMalformed, "the probe is longer than a datagram may be"};
+    std::optional<ProbeDatagram> probe;
+    const bool isRead = readMsgpack(bytes, MaximumDatagramBytes, [&](MsgpackReader &reader) { probe = takeProbe(reader); });
+    if (!isRead || !probe) {
+        return Error {ErrorCode::FrameMalformed, "probe datagram"};
     }
-    return tryUnpack<ProbeDatagram>(bytes, tryReadProbe);
+    return std::move(*probe);
 }
 
 std::size_t encodedSize(const MemberUpdate &update)
 {
-    FieldWriter writer;
+    MsgpackWriter writer;
     writeUpdate(writer, update);
-    return writer.bytes().size();
+    return writer.take().size();
 }
 
 std::size_t encodedSize(const CrashSuspectEntry &entry)
 {
-    FieldWriter writer;
+    MsgpackWriter writer;
     writeCrashSuspect(writer, entry);
-    return writer.bytes().size();
+    return writer.take().size();
 }
 
 } // namespace Fuchsiastep
--- a/Libraries/LibMembership/RangeBroadcast.cpp
+++ b/Libraries/LibMembership/RangeBroadcast.cpp
@@ -6,10 +6,7 @@
 namespace Fuchsiastep {
 
 RangeBroadcast::RangeBroadcast(const DistributorSettings &settings, const MembershipTable &table, const Clock &clock, Random &random)
-    : m_settings(settings)
-    , m_table(table)
-    , m_clock(clock)
-    , m_random(random)
+    : m_settings(settings), m_table(table), m_clock(clock), m_random(random)
 { }
 
 std::vector<DistributorOutput> RangeBroadcast::start(const ConfigurationPushFrame &push, const RingRange &range)
@@ -25,9 +22,8 @@
 
 void RangeBroadcast::acknowledged(const std::string &peer, ConfigurationVersion version)
 {
-    std::erase_if(m_assignments, [&](const Assignment &assignment) {
-        return assignment.delegate == peer && assignment.push.targetVersion == version;
-    });
+    std::erase_if(m_assignments,
+        [&](const Assignment &assignment) { return assignment.delegate == peer && assignment.push.targetVersion == version; });
 }
 
 std::vector<DistributorOutput> RangeBroadcast::lost(const std::string &peer)
@@ -92,9 +88,8 @@
         return std::nullopt;
     }
     std::vector<std::string> choices;
-    std::copy_if(peers.begin(), peers.end(), std::back_inserter(choices), [&](const std::string &id) {
-        return !assignment.tried.contains(id);
-    });
+    std::copy_if(
+        peers.begin(), peers.end(), std::back_inserter(choices), [&](const std::string &id) { return !assignment.tried.contains(id); });
     // Where all were tried, the frames may have been lost, so the same members are tried again.
     const std::vector<std::string> &pool = choices.empty() ? peers : choices;
     return pool[m_random.below(pool.size())];
--- a/Libraries/LibMembership/RendezvousHash.cpp
+++ b/Libraries/LibMembership/RendezvousHash.cpp
@@ -43,8 +43,7 @@
 bool holdsRole(const MembershipTable &table, std::string_view role, std::size_t count)
 {
     const auto holders = rendezvousMembers(table, table.self().dataCentre, role, count);
-    return std::any_of(
-        holders.begin(), holders.end(), [&](const MemberRecord *holder) { return holder->proxyId == table.self().proxyId; });
+    return std::any_of(holders.begin(), holders.end(), [&](const MemberRecord *holder) { return holder->proxyId == table.self().proxyId; });
 }
 
 } // namespace Fuchsiastep
--- a/Libraries/LibMembership/RingRange.h
+++ b/Libraries/LibMembership/RingRange.h
@@ -33,8 +33,10 @@
 /// Live peers of the own data centre whose position is in \a range, by position.
 std::vector<std::string> peersInRange(const MembershipTable &table, const RingRange &range);
 
-/// Splits \a range into at most \a parts ranges that hold about the same number of known peers. Together they cover the
-/// whole range, so that a delegate also reaches members that this proxy does not know. Empty where no peer is known.
+/// Splits \a range into at most \a parts ranges (two, where \a parts is 1) that hold about the same number of known peers.
+/// Together they cover the range, so that a delegate also reaches members that this proxy does not know. The position of
+/// this proxy is left out, because its delegates would otherwise send everything back to it. A side of that position on
+/// which no peer is known is left out as well.
 std::vector<RingRange> splitRange(const MembershipTable &table, const RingRange &range, std::size_t parts);
 
 } // namespace Fuchsiastep
--- a/Libraries/LibMembership/SnapshotServer.cpp
+++ b/Libraries/LibMembership/SnapshotServer.cpp
@@ -5,25 +5,41 @@
 namespace Fuchsiastep {
 
 SnapshotServer::SnapshotServer(const DistributorSettings &settings, const Clock &clock, Random &random)
-    : m_settings(settings)
-    , m_clock(clock)
-    , m_random(random)
+    : m_settings(settings), m_clock(clock), m_random(random)
 { }
 
 std::vector<DistributorOutput> SnapshotServer::request(const std::string &peer, const Configuration::Pointer &configuration)
 {
-    if (m_transfers.contains(peer)) {
-        return {};
+    const auto running = m_transfers.find(peer);
+    if (running != m_transfers.end()) {
+        if (!running->second.isEndSent) {
+            return {};
+        }
+        // The peer asks again, so it lost a part.
+        m_transfers.erase(running);
     }
     if (m_transfers.size() >= m_settings.snapshotsAtOnce) {
         const Duration wait = m_random.jitter(m_settings.deferralLimit);
         const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count() + 1;
         return {SendFrame {peer, SnapshotDeferredFrame {static_cast<std::uint32_t>(waitMs)}}};
     }
-    m_transfers.emplace(peer, Transfer {configuration->version(), configuration->digest(), encoded(*configuration), 0, false, m_clock.now()});
+    m_transfers.emplace(
+        peer, Transfer {configuration->version(), configuration->digest(), encoded(*configuration), 0, false, m_clock.now()});
     return advance();
 }
 
+void SnapshotServer::acknowledged(const std::string &peer, const ConfigurationAckFrame &ack)
+{
+    const auto running = m_transfers.find(peer);
+    if (running == m_transfers.end() || running->second.version != ack.version) {
+        return;
+    }
+    // An acknowledgement of a push of the same version that could not be applied does not answer the snapshot.
+    if (ack.isHeld || running->second.isEndSent) {
+        m_transfers.erase(running);
+    }
+}
+
 void SnapshotServer::finished(const std::string &peer)
 {
     m_transfers.erase(peer);
--- a/Libraries/LibMembership/SnapshotServer.h
+++ b/Libraries/LibMembership/SnapshotServer.h
@@ -21,9 +21,11 @@
 public:
     SnapshotServer(const DistributorSettings &settings, const Clock &clock, Random &random);
 
-    /// Starts a snapshot for \a peer or defers it. A peer that is served already gets nothing new.
+    /// Starts a snapshot for \a peer or defers it. A request that is repeated while parts are still sent gets nothing new.
     std::vector<DistributorOutput> request(const std::string &peer, const Configuration::Pointer &configuration);
-    /// \a peer is done with its snapshot or gone.
+    /// Ends the snapshot of \a peer where \a ack answers it.
+    void acknowledged(const std::string &peer, const ConfigurationAckFrame &ack);
+    /// \a peer is gone.
     void finished(const std::string &peer);
     std::vector<DistributorOutput> advance();
     std::optional<TimePoint> nextDeadline() const;
--- a/Libraries/LibMembership/StartupGate.cpp
+++ b/Libraries/LibMembership/StartupGate.cpp
@@ -10,11 +10,7 @@
 namespace Fuchsiastep {
 
 StartupGate::StartupGate(StartupGateSettings settings, const MembershipTable &table, const Clock &clock, Random &random)
-    : m_settings(settings)
-    , m_table(table)
-    , m_clock(clock)
-    , m_random(random)
-    , m_nextAsk(clock.now())
+    : m_settings(settings), m_table(table), m_clock(clock), m_random(random), m_nextAsk(clock.now())
 { }
 
 std::vector<StartupGateOutput> StartupGate::handle(const StartupGateInput &input)
@@ -110,8 +106,7 @@
 {
     const MemberRecord &self = m_table.self();
     // The list is read again with each question, because a joining proxy may learn of its peers after the first.
-    for (const MemberRecord *reader :
-        rendezvousMembers(m_table, self.dataCentre, ReaderRole, m_settings.readersAsked + 1)) {
+    for (const MemberRecord *reader : rendezvousMembers(m_table, self.dataCentre, ReaderRole, m_settings.readersAsked + 1)) {
         m_asked.insert(reader->proxyId);
     }
     auto others = m_table.livePeers();
--- a/Libraries/LibMembership/Suspicion.cpp
+++ b/Libraries/LibMembership/Suspicion.cpp
@@ -26,8 +26,8 @@
 TimePoint Suspicion::deadline() const
 {
     const std::size_t confirmations = m_accusers.empty() ? 0 : m_accusers.size() - 1;
-    const double share = std::min(1.0,
-        std::log2(static_cast<double>(confirmations) + 1) / std::log2(static_cast<double>(m_confirmationsForShortest) + 1));
+    const double share =
+        std::min(1.0, std::log2(static_cast<double>(confirmations) + 1) / std::log2(static_cast<double>(m_confirmationsForShortest) + 1));
     const auto cut = static_cast<Duration::rep>(static_cast<double>((m_longest - m_shortest).count()) * share);
     return std::max(m_startedAt + m_longest - Duration(cut), m_notBefore);
 }
