--- a/Libraries/LibMembership/DistributorMessages.h
+++ b/Libraries/LibMembership/DistributorMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibConfiguration/ConfigurationDelta.h>
+#include <LibConfiguration/ConfigurationReaderMessages.h>
 #include <LibCore/Error.h>
 #include <LibMembership/MemberChange.h>
 #include <LibMembership/PeerFrame.h>
@@ -12,12 +13,6 @@
 
 namespace Fuchsiastep {
 
-/// The reader found a new version in the platform.
-struct ConfigurationFound
-{
-    std::variant<ConfigurationDelta, Configuration::Pointer> content;
-};
-
 /// Whether this proxy can read the platform. While it cannot, a reader asks the readers of other data centres.
 struct PlatformReadability
 {
--- a/Libraries/LibMembership/MemberRecord.h
+++ b/Libraries/LibMembership/MemberRecord.h
@@ -35,6 +35,8 @@
     std::string region;
     /// The upstream beside the proxy, once it has announced itself.
     std::optional<Endpoint> endpoint;
+    /// Where operators reach the proxy.
+    SocketAddress controlAddress;
 
     bool operator==(const MemberRecord &) const = default;
 };
--- a/Tests/LibProxy/TestPeerLinks.cpp
+++ b/Tests/LibProxy/TestPeerLinks.cpp
@@ -26,6 +26,7 @@
                 std::visit(Overloaded {
                                [this](PeerFrameReceived &frame) { frames.push_back(std::move(frame)); },
                                [this](const PeerConnectionClosed &loss) { closed.push_back(loss); },
+                               [](const PeerLinkEstablished &) {},
                            },
                     event);
             })
@@ -97,7 +98,7 @@
             hostile.send(item.bytes);
             CPPUNIT_ASSERT_MESSAGE(item.name, hostile.waitForClose());
             CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, closedBefore + 1, second.closed.size());
-            CPPUNIT_ASSERT_MESSAGE(item.name, !second.closed.back().isOutgoing && !second.closed.back().neverConnected);
+            CPPUNIT_ASSERT_MESSAGE(item.name, !second.closed.back().carriesRequests && !second.closed.back().neverConnected);
             first.links.sendTo("p-2", second.links.address(), VersionNudgeFrame {++sent});
             CPPUNIT_ASSERT_MESSAGE(item.name, runUntil([&second, sent] { return second.frames.size() == sent; }));
         }
@@ -128,7 +129,7 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, std::size_t {1}, peer.closed.size());
             CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, id, peer.closed.front().connectionId);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, std::string("p-2"), peer.closed.front().proxyId);
-            CPPUNIT_ASSERT_MESSAGE(item.name, peer.closed.front().neverConnected && peer.closed.front().isOutgoing);
+            CPPUNIT_ASSERT_MESSAGE(item.name, peer.closed.front().neverConnected && peer.closed.front().carriesRequests);
             // The next frame opens a new connection.
             const Peer other("p-2");
             CPPUNIT_ASSERT_MESSAGE(item.name, peer.links.sendTo("p-2", other.links.address(), VersionNudgeFrame {2}) != id);
