--- a/Libraries/LibRequest/ClaimRecord.h
+++ b/Libraries/LibRequest/ClaimRecord.h
@@ -13,7 +13,7 @@
     /// Its attempt may run the request at any time, or may have died.
     Claimed = 0,
     /// The request ran and this is its outcome.
-    Done = 1,
+    Ran = 1,
     /// The request may have run and nothing more will be known.
     Unknown = 2,
     /// The request certainly did not run. The row stays, so that a delayed insert cannot take effect later.
--- /dev/null
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -0,0 +1,491 @@
+#include <LibRequest/RequestCoordinator.h>
+
+#include <LibRequest/PriorityHeader.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace Fuchsiastep {
+
+// Another upstream may well take a request that ended as not run for one of these reasons.
+static constexpr std::array NotRunElsewhere {
+    ErrorCode::ConnectionRefused,
+    ErrorCode::NoUpstream,
+    ErrorCode::UpstreamBusy,
+    ErrorCode::QueueTimeout,
+    ErrorCode::Draining,
+    ErrorCode::NotReady,
+    ErrorCode::UpstreamCrashed,
+    ErrorCode::UpstreamRefused,
+    ErrorCode::ClaimReleased,
+};
+
+static constexpr std::uint16_t FirstServerErrorStatus = 500;
+static constexpr std::uint16_t ShedStatus = 503;
+
+static const RouteRules &rulesOf(const CallerRequest &request)
+{
+    return request.route->selector->rules;
+}
+
+RequestCoordinator::RequestCoordinator(Settings settings, RoutingState &routing, UpstreamSelector &selector, const Clock &clock)
+    : m_settings(settings), m_routing(routing), m_selector(selector), m_clock(clock)
+{ }
+
+std::vector<CoordinatorOutput> RequestCoordinator::handle(const CoordinatorInput &input)
+{
+    std::visit([this](const auto &message) { apply(message); }, input);
+    wakeWaiting();
+    return takeOutputs();
+}
+
+std::vector<CoordinatorOutput> RequestCoordinator::advance()
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= m_clock.now()) {
+        const CallerToken token = m_deadlines.begin()->second;
+        Pending &pending = m_pending.at(token);
+        RequestOutcome outcome = RequestOutcome::NotRun;
+        if (pending.current) {
+            m_outputs.emplace_back(SendCancel {pending.current->endpoint->proxyId, {pending.current->requestId}});
+            m_routing.ejections.recordFailure(*pending.current->endpoint);
+            endTry(token, pending);
+            outcome = RequestOutcome::Unknown;
+        }
+        finishWithout(token, outcome, ErrorCode::DeadlineExceeded, pending.lastDetail);
+    }
+    wakeWaiting();
+    return takeOutputs();
+}
+
+std::optional<TimePoint> RequestCoordinator::nextDeadline() const
+{
+    return m_deadlines.empty() ? std::nullopt : std::optional(m_deadlines.begin()->first);
+}
+
+const RequestCounts &RequestCoordinator::counts() const
+{
+    return m_counts;
+}
+
+std::size_t RequestCoordinator::inFlight() const
+{
+    return m_pending.size();
+}
+
+std::uint64_t RequestCoordinator::bufferedBytes() const
+{
+    return m_bufferedBytes;
+}
+
+void RequestCoordinator::apply(const CallerRequest &request)
+{
+    if (m_pending.contains(request.token)) {
+        ++m_counts.duplicates;
+        return;
+    }
+    ++m_counts.received;
+    if (!request.route || !request.route->selector) {
+        refuse(request, {ErrorCode::NoRoute, request.service});
+        return;
+    }
+    const RouteRules &rules = rulesOf(request);
+    const bool isRepeatable =
+        std::find(rules.repeatableMethods.begin(), rules.repeatableMethods.end(), request.method) != rules.repeatableMethods.end();
+    if (const std::optional<Error> error = refusal(request, isRepeatable)) {
+        refuse(request, *error);
+        return;
+    }
+    m_routing.ejections.ensureServiceSize(request.service, request.route->endpoints.size());
+    Pending pending;
+    pending.request = request;
+    pending.isRepeatable = isRepeatable;
+    pending.deadline = m_clock.now() + std::min(rules.timeout, request.timeLeft.value_or(rules.timeout));
+    m_bufferedBytes += request.body.size();
+    m_deadlines.emplace(pending.deadline, request.token);
+    m_pending.emplace(request.token, std::move(pending));
+    dispatch(request.token);
+}
+
+void RequestCoordinator::apply(const CallerGone &gone)
+{
+    const auto found = m_pending.find(gone.token);
+    if (found == m_pending.end()) {
+        return;
+    }
+    ++m_counts.cancelled;
+    Pending &pending = found->second;
+    RequestOutcome outcome = RequestOutcome::NotRun;
+    if (pending.current) {
+        m_outputs.emplace_back(SendCancel {pending.current->endpoint->proxyId, {pending.current->requestId}});
+        endTry(gone.token, pending);
+        outcome = RequestOutcome::Unknown;
+    }
+    // The request is counted as ended, but nobody is left to be told.
+    const std::size_t outputCount = m_outputs.size();
+    finishWithout(gone.token, outcome, ErrorCode::Cancelled, {});
+    m_outputs.resize(outputCount, CallerAnswer {});
+}
+
+void RequestCoordinator::apply(const PeerConnected &connected)
+{
+    m_connections[connected.proxyId] = {connected.connectionId, connected.incarnation};
+}
+
+void RequestCoordinator::apply(const PeerAnswer &answer)
+{
+    const std::uint64_t requestId = std::visit([](const auto &frame) { return frame.requestId; }, answer.frame);
+    const auto found = m_tries.find(requestId);
+    if (found == m_tries.end()) {
+        ++m_counts.lateAnswers;
+        return;
+    }
+    const CallerToken token = found->second;
+    Pending &pending = m_pending.at(token);
+    Try &current = *pending.current;
+    const std::pair connection(answer.connectionId, answer.incarnation);
+    const auto known = m_connections.find(answer.proxyId);
+    const bool isOtherConnection =
+        (known != m_connections.end() && known->second != connection) || (current.connection && *current.connection != connection);
+    if (answer.proxyId != current.endpoint->proxyId || isOtherConnection) {
+        ++m_counts.crossedAnswers;
+        return;
+    }
+    current.connection = connection;
+    const std::uint64_t bytesBefore = current.assembly.bytes();
+    const std::uint64_t duplicatesBefore = current.assembly.duplicates();
+    const AnswerAssembly::State state = std::visit([&](const auto &frame) { return current.assembly.add(frame); }, answer.frame);
+    m_bufferedBytes += current.assembly.bytes() - bytesBefore;
+    m_counts.duplicates += current.assembly.duplicates() - duplicatesBefore;
+    if (state == AnswerAssembly::State::Complete) {
+        endAnswered(token, pending);
+        return;
+    }
+    if (state == AnswerAssembly::State::Incomplete && m_bufferedBytes <= m_settings.maximumBufferedBytes) {
+        return;
+    }
+    ++m_counts.truncatedAnswers;
+    m_outputs.emplace_back(SendCancel {answer.proxyId, {requestId}});
+    endTry(token, pending);
+    retryOrFinish(token, pending, RequestOutcome::Unknown, ErrorCode::AnswerTruncated, "parts of the answer do not fit");
+}
+
+void RequestCoordinator::apply(const PeerConnectionLost &lost)
+{
+    m_connections.erase(lost.proxyId);
+    for (const std::uint64_t requestId : triesOn(lost.proxyId)) {
+        const auto found = m_tries.find(requestId);
+        if (found == m_tries.end()) {
+            continue;
+        }
+        const CallerToken token = found->second;
+        Pending &pending = m_pending.at(token);
+        const bool isCutOff = pending.current->assembly.hasHeader();
+        m_counts.truncatedAnswers += isCutOff ? 1 : 0;
+        m_routing.ejections.recordConnectionLoss(*pending.current->endpoint);
+        endTry(token, pending);
+        retryOrFinish(token,
+            pending,
+            RequestOutcome::Unknown,
+            isCutOff ? ErrorCode::AnswerTruncated : ErrorCode::OutcomeUnknown,
+            "the connection to " + lost.proxyId + " closed");
+    }
+}
+
+void RequestCoordinator::apply(const PeerConnectFailed &failed)
+{
+    m_connections.erase(failed.proxyId);
+    for (const std::uint64_t requestId : triesOn(failed.proxyId)) {
+        const auto found = m_tries.find(requestId);
+        if (found == m_tries.end()) {
+            continue;
+        }
+        const CallerToken token = found->second;
+        Pending &pending = m_pending.at(token);
+        m_routing.ejections.recordConnectionLoss(*pending.current->endpoint);
+        endTry(token, pending);
+        retryOrFinish(token, pending, RequestOutcome::NotRun, ErrorCode::ConnectionRefused, failed.proxyId + " cannot be reached");
+    }
+}
+
+std::optional<Error> RequestCoordinator::refusal(const CallerRequest &request, bool isRepeatable) const
+{
+    if (request.body.size() > m_settings.maximumRequestBytes) {
+        return Error {ErrorCode::BodyTooLarge, std::to_string(m_settings.maximumRequestBytes) + " bytes are allowed"};
+    }
+    if (!isRepeatable && request.key.empty() && rulesOf(request).isKeyRequired) {
+        return Error {ErrorCode::KeyRequired, request.method + " on " + request.service};
+    }
+    if (m_pending.size() >= m_settings.maximumInFlight || m_bufferedBytes + request.body.size() > m_settings.maximumBufferedBytes) {
+        return Error {ErrorCode::UpstreamBusy, "this proxy holds as many requests as it may"};
+    }
+    return std::nullopt;
+}
+
+void RequestCoordinator::dispatch(CallerToken token)
+{
+    Pending &pending = m_pending.at(token);
+    if (pending.deadline <= m_clock.now()) {
+        finishWithout(token, RequestOutcome::NotRun, ErrorCode::DeadlineExceeded, pending.lastDetail);
+        return;
+    }
+    bool isIsolated = false;
+    if (!passSuspicion(token, pending, isIsolated)) {
+        return;
+    }
+    Result<std::shared_ptr<const Endpoint>> endpoint = m_selector.trySelect(pending.request.route, pending.triedUpstreamIds);
+    if (isError(endpoint)) {
+        const bool isFirst = pending.triedUpstreamIds.empty();
+        finishWithout(token,
+            RequestOutcome::NotRun,
+            isFirst ? errorOf(endpoint).code : pending.lastCode,
+            isFirst ? errorOf(endpoint).detail : pending.lastDetail);
+        return;
+    }
+    if (pending.triedUpstreamIds.empty()) {
+        m_routing.retries.recordFirstTry();
+    } else if (!m_routing.retries.take()) {
+        finishWithout(token, RequestOutcome::NotRun, ErrorCode::RetryBudgetExhausted, pending.lastDetail);
+        return;
+    } else {
+        ++m_counts.retries;
+    }
+    send(token, pending, valueOf(std::move(endpoint)), isIsolated);
+}
+
+bool RequestCoordinator::passSuspicion(CallerToken token, Pending &pending, bool &isIsolated)
+{
+    if (m_routing.suspects.isEmpty()) {
+        return true;
+    }
+    const std::uint64_t fingerprint = fingerprintOf(pending);
+    if (m_routing.suspects.isHeldOff(fingerprint)) {
+        finishWithout(token, RequestOutcome::NotRun, ErrorCode::RequestHeldOff, "requests like this one crashed upstreams");
+        return false;
+    }
+    isIsolated = m_routing.suspects.mustRunAlone(fingerprint);
+    // One run decides about all requests like it, so the others wait for its result instead of risking more upstreams.
+    if (isIsolated && m_trials.contains(fingerprint)) {
+        m_waiting[fingerprint].push_back(token);
+        return false;
+    }
+    return true;
+}
+
+void RequestCoordinator::send(CallerToken token, Pending &pending, std::shared_ptr<const Endpoint> endpoint, bool isIsolated)
+{
+    const CallerRequest &request = pending.request;
+    RequestFrame frame;
+    frame.requestId = m_nextRequestId++;
+    frame.service = request.service;
+    frame.upstreamId = endpoint->upstreamId;
+    frame.caller = request.caller;
+    frame.method = request.method;
+    frame.path = request.path;
+    frame.headers = request.headers;
+    setPriority(frame.headers, rulesOf(request).priority);
+    frame.key = request.key;
+    frame.isRepeatable = pending.isRepeatable;
+    const Duration left = pending.deadline - m_clock.now();
+    const Duration margin = std::min(m_settings.answerMargin, left / 10);
+    frame.timeLeftMs =
+        static_cast<std::uint32_t>(std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(left - margin).count()));
+    frame.isIsolated = isIsolated;
+    frame.body = request.body;
+
+    if (isIsolated) {
+        m_trials[fingerprintOf(pending)] = token;
+    }
+    ++m_counts.tries;
+    m_routing.load.recordStart(endpoint->upstreamId);
+    m_tries.emplace(frame.requestId, token);
+    m_triesByProxy[endpoint->proxyId].insert(frame.requestId);
+    pending.triedUpstreamIds.push_back(endpoint->upstreamId);
+    pending.current = Try {frame.requestId, endpoint, isIsolated, AnswerAssembly(m_settings.maximumAnswerBytes), std::nullopt};
+    m_outputs.emplace_back(SendRequest {endpoint->proxyId, endpoint->proxyAddress, std::move(frame)});
+}
+
+void RequestCoordinator::endAnswered(CallerToken token, Pending &pending)
+{
+    AnswerFrame answer = pending.current->assembly.take();
+    recordEvidence(pending, answer);
+    if (answer.code == ErrorCode::UpstreamCrashed && answer.outcome == RequestOutcome::Unknown) {
+        recordCrash(pending);
+    }
+    const bool isIsolated = pending.current->isIsolated;
+    endTry(token, pending);
+    if (answer.outcome != RequestOutcome::Answered) {
+        retryOrFinish(token, pending, answer.outcome, answer.code, std::move(answer.detail));
+        return;
+    }
+    if (!m_routing.suspects.isEmpty()) {
+        m_routing.suspects.recordCompletion(fingerprintOf(pending), isIsolated);
+    }
+    CallerAnswer result;
+    result.outcome = RequestOutcome::Answered;
+    result.status = answer.status;
+    result.headers = std::move(answer.headers);
+    result.body = std::move(answer.body);
+    finish(token, std::move(result));
+}
+
+void RequestCoordinator::endTry(CallerToken token, Pending &pending)
+{
+    const Try &current = *pending.current;
+    m_bufferedBytes -= current.assembly.bytes();
+    m_routing.load.recordEnd(current.endpoint->upstreamId);
+    m_tries.erase(current.requestId);
+    const auto onProxy = m_triesByProxy.find(current.endpoint->proxyId);
+    onProxy->second.erase(current.requestId);
+    if (onProxy->second.empty()) {
+        m_triesByProxy.erase(onProxy);
+    }
+    if (current.isIsolated) {
+        const auto trial = m_trials.find(fingerprintOf(pending));
+        if (trial != m_trials.end() && trial->second == token) {
+            m_endedTrials.push_back(trial->first);
+            m_trials.erase(trial);
+        }
+    }
+    pending.current.reset();
+}
+
+void RequestCoordinator::retryOrFinish(CallerToken token, Pending &pending, RequestOutcome outcome, ErrorCode code, std::string detail)
+{
+    pending.mayHaveRun = pending.mayHaveRun || outcome == RequestOutcome::Unknown;
+    pending.lastCode = code;
+    pending.lastDetail = std::move(detail);
+    if (mayRetry(pending, outcome, code)) {
+        dispatch(token);
+        return;
+    }
+    finishWithout(token, outcome, code, pending.lastDetail);
+}
+
+bool RequestCoordinator::mayRetry(const Pending &pending, RequestOutcome outcome, ErrorCode code) const
+{
+    if (pending.triedUpstreamIds.size() > rulesOf(pending.request).maximumRetries || pending.deadline <= m_clock.now()) {
+        return false;
+    }
+    if (outcome == RequestOutcome::Unknown) {
+        return pending.isRepeatable;
+    }
+    return std::find(NotRunElsewhere.begin(), NotRunElsewhere.end(), code) != NotRunElsewhere.end();
+}
+
+void RequestCoordinator::finishWithout(CallerToken token, RequestOutcome outcome, ErrorCode code, std::string detail)
+{
+    const Pending &pending = m_pending.at(token);
+    CallerAnswer answer;
+    answer.outcome = outcome;
+    answer.code = code;
+    // An earlier try may have run, whatever became of the last one.
+    if (pending.mayHaveRun && outcome == RequestOutcome::NotRun) {
+        answer.outcome = RequestOutcome::Unknown;
+        answer.code = code == ErrorCode::DeadlineExceeded ? code : ErrorCode::OutcomeUnknown;
+    }
+    answer.status = errorCodeInfo(answer.code).httpStatus;
+    answer.detail = std::move(detail);
+    finish(token, std::move(answer));
+}
+
+void RequestCoordinator::finish(CallerToken token, CallerAnswer answer)
+{
+    const auto found = m_pending.find(token);
+    const Pending &pending = found->second;
+    answer.token = token;
+    answer.tries = static_cast<std::uint32_t>(pending.triedUpstreamIds.size());
+    m_counts.answered += answer.outcome == RequestOutcome::Answered ? 1 : 0;
+    m_counts.notRun += answer.outcome == RequestOutcome::NotRun ? 1 : 0;
+    m_counts.unknown += answer.outcome == RequestOutcome::Unknown ? 1 : 0;
+    m_bufferedBytes -= pending.request.body.size();
+    m_deadlines.erase({pending.deadline, token});
+    m_pending.erase(found);
+    m_outputs.emplace_back(std::move(answer));
+}
+
+void RequestCoordinator::refuse(const CallerRequest &request, const Error &error)
+{
+    ++m_counts.notRun;
+    CallerAnswer answer;
+    answer.token = request.token;
+    answer.outcome = RequestOutcome::NotRun;
+    answer.code = error.code;
+    answer.status = errorCodeInfo(error.code).httpStatus;
+    answer.detail = error.detail;
+    m_outputs.emplace_back(std::move(answer));
+}
+
+void RequestCoordinator::recordEvidence(const Pending &pending, const AnswerFrame &answer)
+{
+    const Endpoint &endpoint = *pending.current->endpoint;
+    if (answer.load.slots > 0) {
+        m_routing.load.recordReport(endpoint.upstreamId, answer.load);
+    }
+    if (answer.outcome == RequestOutcome::Answered) {
+        if (answer.status < FirstServerErrorStatus) {
+            m_routing.ejections.recordSuccess(endpoint);
+        } else if (answer.status != ShedStatus) {
+            m_routing.ejections.recordFailure(endpoint);
+        }
+        return;
+    }
+    if (answer.code == ErrorCode::UpstreamCrashed) {
+        m_routing.ejections.recordConnectionLoss(endpoint);
+    } else if (answer.code == ErrorCode::Draining || answer.code == ErrorCode::NoUpstream) {
+        m_routing.ejections.recordLeaving(endpoint);
+    } else if (answer.outcome == RequestOutcome::Unknown && answer.code != ErrorCode::Cancelled) {
+        m_routing.ejections.recordFailure(endpoint);
+    }
+}
+
+void RequestCoordinator::recordCrash(Pending &pending)
+{
+    m_routing.suspects.recordCrash(pending.current->endpoint->upstreamId, {fingerprintOf(pending)}, pending.current->isIsolated);
+}
+
+std::uint64_t RequestCoordinator::fingerprintOf(Pending &pending)
+{
+    if (!pending.fingerprint) {
+        const CallerRequest &request = pending.request;
+        pending.fingerprint = requestFingerprint(request.service, request.method, request.path, request.body);
+    }
+    return *pending.fingerprint;
+}
+
+void RequestCoordinator::wakeWaiting()
+{
+    while (!m_endedTrials.empty()) {
+        const std::uint64_t fingerprint = m_endedTrials.back();
+        m_endedTrials.pop_back();
+        auto waiting = m_waiting.find(fingerprint);
+        while (waiting != m_waiting.end() && !m_trials.contains(fingerprint)) {
+            const CallerToken token = waiting->second.front();
+            waiting->second.pop_front();
+            if (waiting->second.empty()) {
+                m_waiting.erase(waiting);
+            }
+            // A waiting request may have met its deadline or lost its caller.
+            if (m_pending.contains(token)) {
+                dispatch(token);
+            }
+            waiting = m_waiting.find(fingerprint);
+        }
+    }
+}
+
+std::vector<std::uint64_t> RequestCoordinator::triesOn(const std::string &proxyId) const
+{
+    const auto onProxy = m_triesByProxy.find(proxyId);
+    if (onProxy == m_triesByProxy.end()) {
+        return {};
+    }
+    return {onProxy->second.begin(), onProxy->second.end()};
+}
+
+std::vector<CoordinatorOutput> RequestCoordinator::takeOutputs()
+{
+    return std::exchange(m_outputs, {});
+}
+
+} // namespace Fuchsiastep
