--- a/Libraries/LibRequest/ClaimLedger.cpp
+++ b/Libraries/LibRequest/ClaimLedger.cpp
@@ -52,12 +52,18 @@
     if (m_groupDue && *m_groupDue <= now) {
         sendGroup();
     }
+    if (m_writeGroupDue && *m_writeGroupDue <= now) {
+        sendWriteGroup();
+    }
     return takeOutputs();
 }
 
 std::optional<TimePoint> ClaimLedger::nextDeadline() const
 {
     std::optional<TimePoint> next = m_groupDue;
+    if (m_writeGroupDue && (!next || *m_writeGroupDue < *next)) {
+        next = m_writeGroupDue;
+    }
     const auto consider = [&next](const auto &times) {
         if (!times.empty() && (!next || times.begin()->first < *next)) {
             next = times.begin()->first;
@@ -180,8 +186,8 @@
     case CallKind::WriteObject:
         onObjectWritten(call.ids.front(), response);
         return;
-    case CallKind::WriteRow:
-        onRowWritten(call.ids.front(), response);
+    case CallKind::WriteRows:
+        onRowsWritten(call.ids, response);
         return;
     }
 }
@@ -463,7 +469,37 @@
         call(CallKind::WriteObject, {writeId}, PutObject {write.objectName, write.objectContent});
         return;
     }
-    call(CallKind::WriteRow, {writeId}, Transaction {{{write.rowKey, write.expectedRevision}}, {{write.rowKey, write.record.encode()}}});
+    m_writeGroup.push_back(writeId);
+    if (!m_writeGroupDue) {
+        m_writeGroupDue = m_clock.now() + m_settings.groupTime;
+    }
+}
+
+void ClaimLedger::sendWriteGroup()
+{
+    m_writeGroupDue.reset();
+    Transaction transaction;
+    std::vector<std::uint64_t> writeIds;
+    std::set<std::string_view> rowKeys;
+    std::size_t bytes = 0;
+    for (const std::uint64_t writeId : std::exchange(m_writeGroup, {})) {
+        const Write &write = m_writes.at(writeId);
+        bytes += write.record.body.size();
+        const bool isFull = writeIds.size() >= m_settings.maximumGroup || bytes > m_settings.maximumGroupBytes;
+        // A transaction may name a row once; two attempts for a key can end within the same group.
+        if (!writeIds.empty() && (isFull || rowKeys.contains(write.rowKey))) {
+            m_writeGroup.push_back(writeId);
+            m_writeGroupDue = m_clock.now();
+            continue;
+        }
+        rowKeys.insert(write.rowKey);
+        transaction.conditions.push_back({write.rowKey, write.expectedRevision});
+        transaction.writes.push_back({write.rowKey, write.record.encode()});
+        writeIds.push_back(writeId);
+    }
+    if (!writeIds.empty()) {
+        call(CallKind::WriteRows, std::move(writeIds), std::move(transaction));
+    }
 }
 
 void ClaimLedger::onObjectWritten(std::uint64_t writeId, const PlatformResponse &response)
@@ -477,19 +513,32 @@
     sendWrite(writeId, write);
 }
 
-void ClaimLedger::onRowWritten(std::uint64_t writeId, const PlatformResponse &response)
+void ClaimLedger::onRowsWritten(const std::vector<std::uint64_t> &writeIds, const PlatformResponse &response)
 {
-    Write &write = m_writes.at(writeId);
-    if (std::holds_alternative<Committed>(response)) {
-        eraseWrite(writeId);
-        return;
-    }
     const auto *conflict = std::get_if<Conflict>(&response);
-    if (conflict == nullptr || conflict->currentRows.empty()) {
-        retryWrite(writeId, write);
-        return;
+    for (const std::uint64_t writeId : writeIds) {
+        Write &write = m_writes.at(writeId);
+        if (std::holds_alternative<Committed>(response)) {
+            eraseWrite(writeId);
+            continue;
+        }
+        if (conflict == nullptr || conflict->currentRows.empty()) {
+            retryWrite(writeId, write);
+            continue;
+        }
+        const auto row = std::find_if(
+            conflict->currentRows.begin(), conflict->currentRows.end(), [&](const Row &current) { return current.key == write.rowKey; });
+        if (row == conflict->currentRows.end()) {
+            // Another row of the group failed it.
+            sendWrite(writeId, write);
+        } else {
+            onWriteConflict(writeId, write, *row);
+        }
     }
-    const Row &row = conflict->currentRows.front();
+}
+
+void ClaimLedger::onWriteConflict(std::uint64_t writeId, Write &write, const Row &row)
+{
     const Result<ClaimRecord> current = ClaimRecord::tryDecode(row.value);
     const bool isOwnClaim = row.revision != 0 && !isError(current) && valueOf(current).isSameAttempt(write.record)
         && valueOf(current).state == ClaimState::Claimed;
--- a/Libraries/LibRequest/ClaimLedger.h
+++ b/Libraries/LibRequest/ClaimLedger.h
@@ -22,9 +22,11 @@
     {
         std::string proxyId;
         std::uint64_t incarnation = 0;
-        /// Claims that arrive within this time go into one transaction.
+        /// Claims, and likewise outcomes and releases, that arise within this time go into one transaction.
         Duration groupTime = std::chrono::milliseconds(3);
         std::size_t maximumGroup = 32;
+        /// Outcomes in one transaction, in bytes; a longer one goes alone.
+        std::size_t maximumGroupBytes = 256ULL * 1024;
         Duration firstPoll = std::chrono::milliseconds(10);
         Duration longestPoll = std::chrono::milliseconds(500);
         Duration firstWriteRetry = std::chrono::milliseconds(50);
@@ -99,12 +101,12 @@
         Read,
         FetchBody,
         WriteObject,
-        WriteRow,
+        WriteRows,
     };
     struct Call
     {
         CallKind kind;
-        /// Local ids, or the one write id.
+        /// Local ids, or write ids for WriteObject and WriteRows.
         std::vector<std::uint64_t> ids;
         TimePoint timeoutAt;
     };
@@ -121,7 +123,9 @@
     void onReadReply(LocalId localId, const PlatformResponse &response);
     void onBodyReply(LocalId localId, const PlatformResponse &response);
     void onObjectWritten(std::uint64_t writeId, const PlatformResponse &response);
-    void onRowWritten(std::uint64_t writeId, const PlatformResponse &response);
+    void sendWriteGroup();
+    void onRowsWritten(const std::vector<std::uint64_t> &writeIds, const PlatformResponse &response);
+    void onWriteConflict(std::uint64_t writeId, Write &write, const Row &row);
     /// Decides by the current row of the key.
     void consider(LocalId localId, Claim &claim, const Row &row);
     void considerOther(LocalId localId, Claim &claim, const Row &row, const ClaimRecord &other);
@@ -154,6 +158,8 @@
     std::set<std::pair<TimePoint, LocalId>> m_deadlines;
     std::map<std::uint64_t, Write> m_writes;
     std::set<std::pair<TimePoint, std::uint64_t>> m_writeWakes;
+    std::vector<std::uint64_t> m_writeGroup;
+    std::optional<TimePoint> m_writeGroupDue;
     std::uint64_t m_writeBytes = 0;
     std::unordered_map<CallId, Call> m_calls;
     std::set<std::pair<TimePoint, CallId>> m_callTimeouts;
--- a/Libraries/LibRequest/CoordinatorInput.h
+++ b/Libraries/LibRequest/CoordinatorInput.h
@@ -39,7 +39,8 @@
     CallerToken token = 0;
 };
 
-/// A connection to the proxy beside an upstream is open and its Hello has arrived.
+/// A connection to the proxy beside an upstream is open and its Hello has arrived. Comes before any PeerAnswer
+/// from it; answers from other connections are dropped as crossed.
 struct PeerConnected
 {
     std::string proxyId;
--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -129,7 +129,13 @@
 
 void RequestCoordinator::apply(const PeerConnected &connected)
 {
-    m_connections[connected.proxyId] = {connected.connectionId, connected.incarnation};
+    const std::pair connection(connected.connectionId, connected.incarnation);
+    const auto known = m_connections.find(connected.proxyId);
+    if (known != m_connections.end() && known->second != connection) {
+        // The new connection replaces one whose end was not told; its answers will not come.
+        apply(PeerConnectionLost {connected.proxyId});
+    }
+    m_connections[connected.proxyId] = connection;
 }
 
 void RequestCoordinator::apply(const PeerAnswer &answer)
@@ -145,13 +151,10 @@
     Try &current = *pending.current;
     const std::pair connection(answer.connectionId, answer.incarnation);
     const auto known = m_connections.find(answer.proxyId);
-    const bool isOtherConnection =
-        (known != m_connections.end() && known->second != connection) || (current.connection && *current.connection != connection);
-    if (answer.proxyId != current.endpoint->proxyId || isOtherConnection) {
+    if (answer.proxyId != current.endpoint->proxyId || known == m_connections.end() || known->second != connection) {
         ++m_counts.crossedAnswers;
         return;
     }
-    current.connection = connection;
     const std::uint64_t bytesBefore = current.assembly.bytes();
     const std::uint64_t duplicatesBefore = current.assembly.duplicates();
     const AnswerAssembly::State state = std::visit([&](const auto &frame) { return current.assembly.add(frame); }, answer.frame);
@@ -301,7 +304,7 @@
     m_tries.emplace(frame.requestId, token);
     m_triesByProxy[endpoint->proxyId].insert(frame.requestId);
     pending.triedUpstreamIds.push_back(endpoint->upstreamId);
-    pending.current = Try {frame.requestId, endpoint, isIsolated, AnswerAssembly(m_settings.maximumAnswerBytes), std::nullopt};
+    pending.current = Try {frame.requestId, endpoint, isIsolated, AnswerAssembly(m_settings.maximumAnswerBytes)};
     m_outputs.emplace_back(SendRequest {endpoint->proxyId, endpoint->proxyAddress, std::move(frame)});
 }
 
--- a/Libraries/LibRequest/RequestCoordinator.h
+++ b/Libraries/LibRequest/RequestCoordinator.h
@@ -51,8 +51,6 @@
         std::shared_ptr<const Endpoint> endpoint;
         bool isIsolated = false;
         AnswerAssembly assembly;
-        /// Connection of the first frame of the answer; the rest must come on the same one.
-        std::optional<std::pair<std::uint64_t, std::uint64_t>> connection;
     };
     struct Pending
     {
--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -149,13 +149,10 @@
             m_outputs.emplace_back(ClaimAbandoned {upstreamAnswer.localId});
         }
         answerWithout(entry, RequestOutcome::NotRun, ErrorCode::UpstreamRefused, {});
-        finishRun(upstreamAnswer.localId, entry);
+        finishRun(upstreamAnswer.localId);
         return;
     }
-    const auto sample = static_cast<double>((m_clock.now() - entry.startedAt).count());
-    const auto mean = static_cast<double>(m_serviceTime.count());
-    m_serviceTime =
-        Duration(static_cast<Duration::rep>(m_serviceTime.count() == 0 ? sample : mean + m_settings.serviceTimeWeight * (sample - mean)));
+    sampleServiceTime(entry);
     m_suspects.recordCompletion(entry.fingerprint, m_isolatedRun == upstreamAnswer.localId);
     if (entry.hasClaim) {
         m_outputs.emplace_back(ClaimFinished {upstreamAnswer.localId,
@@ -171,7 +168,7 @@
     frame.headers = upstreamAnswer.headers;
     frame.body = upstreamAnswer.body;
     answer(entry, std::move(frame));
-    finishRun(upstreamAnswer.localId, entry);
+    finishRun(upstreamAnswer.localId);
 }
 
 void UpstreamGate::apply(const UpstreamFailed &failed)
@@ -187,9 +184,13 @@
             m_outputs.emplace_back(ClaimAbandoned {failed.localId});
         }
         answerWithout(entry, RequestOutcome::NotRun, ErrorCode::NoUpstream, "no connection to the upstream");
-        finishRun(failed.localId, entry);
+        finishRun(failed.localId);
         return;
     }
+    if (entry.isAborted && m_clock.now() - entry.startedAt > m_serviceTime) {
+        // The run would have taken longer still.
+        sampleServiceTime(entry);
+    }
     if (!entry.isAborted) {
         m_recentFailures.push_back({m_clock.now(), entry.fingerprint, m_isolatedRun == failed.localId});
     }
@@ -197,7 +198,7 @@
         m_outputs.emplace_back(ClaimFinished {failed.localId, RequestOutcome::Unknown, ErrorCode::OutcomeUnknown, 0, {}, {}});
     }
     answerWithout(entry, RequestOutcome::Unknown, ErrorCode::OutcomeUnknown, "the upstream gave no answer");
-    finishRun(failed.localId, entry);
+    finishRun(failed.localId);
 }
 
 void UpstreamGate::apply(const UpstreamCrashed & /*crashed*/)
@@ -230,7 +231,7 @@
             m_outputs.emplace_back(ClaimFinished {localId, RequestOutcome::Unknown, ErrorCode::UpstreamCrashed, 0, {}, {}});
         }
         answerWithout(entry, RequestOutcome::Unknown, ErrorCode::UpstreamCrashed, report.upstreamId);
-        finishRun(localId, entry);
+        finishRun(localId);
     }
     m_upstream.reset();
     releaseWaiting(ErrorCode::NoUpstream, "the upstream crashed");
@@ -539,7 +540,14 @@
     erase(localId);
 }
 
-void UpstreamGate::finishRun(LocalId localId, Entry & /*entry*/)
+void UpstreamGate::sampleServiceTime(const Entry &entry)
+{
+    const Duration sample = m_clock.now() - entry.startedAt;
+    const auto change = m_settings.serviceTimeWeight * static_cast<double>((sample - m_serviceTime).count());
+    m_serviceTime = m_serviceTime.count() == 0 ? sample : m_serviceTime + Duration(static_cast<Duration::rep>(change));
+}
+
+void UpstreamGate::finishRun(LocalId localId)
 {
     --m_running;
     if (m_isolatedRun == localId) {
--- a/Libraries/LibRequest/UpstreamGate.h
+++ b/Libraries/LibRequest/UpstreamGate.h
@@ -113,7 +113,8 @@
     void answerWithout(Entry &entry, RequestOutcome outcome, ErrorCode code, std::string detail);
     /// Ends a request that never reached the upstream.
     void dropNotRun(LocalId localId, ErrorCode code, std::string detail);
-    void finishRun(LocalId localId, Entry &entry);
+    void sampleServiceTime(const Entry &entry);
+    void finishRun(LocalId localId);
     void setWake(LocalId localId, Entry &entry, std::optional<TimePoint> at);
     void removeFromQueue(LocalId localId, const Entry &entry);
     void erase(LocalId localId);
--- a/Libraries/LibRouting/CrashSuspects.cpp
+++ b/Libraries/LibRouting/CrashSuspects.cpp
@@ -21,9 +21,6 @@
     for (const std::uint64_t fingerprint : addCrash(upstreamId, fingerprints)) {
         const Record *known = find(fingerprint);
         Record record = known != nullptr ? *known : Record {};
-        if (!wasAlone && isImmune(record)) {
-            continue;
-        }
         record.crashCount += wasAlone ? CrashSuspectEntry::AloneCrashWeight : 1;
         const std::uint32_t needed = hasCrashWithout(fingerprint) ? 2 : 1;
         record.isBlamed = record.isBlamed || record.crashCount / CrashSuspectEntry::AloneCrashWeight >= needed;
@@ -34,15 +31,9 @@
 
 void CrashSuspects::recordCompletion(std::uint64_t fingerprint, bool wasIsolated)
 {
-    const Record *known = find(fingerprint);
-    if (known == nullptr || known->crashCount == 0) {
-        return;
-    }
-    if (!wasIsolated && mustRunAlone(fingerprint)) {
-        // It ran beside others since before it became a suspect; only a run alone decides.
-        return;
+    if (wasIsolated && isSuspect(fingerprint)) {
+        store(fingerprint, {0, m_clock.unixMilliseconds(), false});
     }
-    store(fingerprint, {0, m_clock.unixMilliseconds(), false});
 }
 
 bool CrashSuspects::isSuspect(std::uint64_t fingerprint) const
@@ -90,7 +81,11 @@
         const bool isAcquittal = incoming.crashCount == 0 || known->crashCount == 0;
         Record merged = *known;
         if (isAcquittal) {
-            merged = incoming.unixMilliseconds > known->unixMilliseconds ? incoming : *known;
+            // At the same time the crash wins, so that every order of merging ends alike.
+            const auto rank = [](const Record &record) {
+                return std::tuple(record.unixMilliseconds, record.crashCount);
+            };
+            merged = rank(incoming) > rank(*known) ? incoming : *known;
         } else {
             merged.crashCount = std::max(known->crashCount, incoming.crashCount);
             merged.unixMilliseconds = std::max(known->unixMilliseconds, incoming.unixMilliseconds);
@@ -143,15 +138,10 @@
 
 bool CrashSuspects::isForgotten(const Record &record) const
 {
-    const std::int64_t memory = toMilliseconds(record.crashCount == 0 ? m_settings.immunity : m_settings.memory);
+    const std::int64_t memory = toMilliseconds(record.crashCount == 0 ? m_settings.acquittalMemory : m_settings.memory);
     return m_clock.unixMilliseconds() > record.unixMilliseconds + holdOffMilliseconds(record) + memory;
 }
 
-bool CrashSuspects::isImmune(const Record &record) const
-{
-    return record.crashCount == 0 && record.unixMilliseconds != 0 && !isForgotten(record);
-}
-
 const CrashSuspects::Record *CrashSuspects::find(std::uint64_t fingerprint) const
 {
     if (m_records.empty()) {
--- a/Libraries/LibRouting/CrashSuspects.h
+++ b/Libraries/LibRouting/CrashSuspects.h
@@ -24,8 +24,8 @@
         Duration maximumHoldOff = std::chrono::minutes(60);
         /// An entry without a new crash is forgotten after this time, counted from the end of its hold-off.
         Duration memory = std::chrono::minutes(10);
-        /// An acquitted request is not suspected again for this time unless it crashes an upstream while alone.
-        Duration immunity = std::chrono::seconds(60);
+        /// An acquittal is remembered for this time, so that older word of other proxies does not undo it.
+        Duration acquittalMemory = std::chrono::seconds(60);
         /// While other upstreams crash without this request in flight, one crash alone may be a coincidence,
         /// and blame needs two.
         Duration burstWindow = std::chrono::seconds(30);
@@ -39,7 +39,8 @@
     /// A crash that is reported again within Settings::sameCrash, by the caller side and the upstream side or
     /// request by request, is one crash.
     void recordCrash(const std::string &upstreamId, const std::vector<std::uint64_t> &fingerprints, bool wasAlone);
-    /// The request ran to its end. A run in isolation acquits it.
+    /// The request ran to its end. A run in isolation acquits it; a run beside others proves nothing, or a
+    /// request that crashes only some of its upstreams would clear itself between two crashes.
     void recordCompletion(std::uint64_t fingerprint, bool wasIsolated);
 
     bool isSuspect(std::uint64_t fingerprint) const;
@@ -68,7 +69,6 @@
 
     std::int64_t holdOffMilliseconds(const Record &record) const;
     bool isForgotten(const Record &record) const;
-    bool isImmune(const Record &record) const;
     const Record *find(std::uint64_t fingerprint) const;
     /// The fingerprints that this crash has not been counted for yet.
     std::vector<std::uint64_t> addCrash(const std::string &upstreamId, const std::vector<std::uint64_t> &fingerprints);
--- /dev/null
+++ b/Tests/LibRequest/TestRequestCoordinator.cpp
@@ -0,0 +1,251 @@
+#include <LibRequest/LibRequest.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Fuchsiastep {
+
+class TestRequestCoordinator : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestRequestCoordinator);
+    CPPUNIT_TEST(testOutcomesAndRetries);
+    CPPUNIT_TEST(testRefusedAtOnce);
+    CPPUNIT_TEST(testBoundsOnRequestsAndBytes);
+    CPPUNIT_TEST(testAnswersFromOtherConnectionsAreDropped);
+    CPPUNIT_TEST(testOneIsolatedRunDecidesForAllLikeIt);
+    CPPUNIT_TEST_SUITE_END();
+
+    struct Fixture
+    {
+        explicit Fixture(std::size_t upstreams = 5, const RequestCoordinator::Settings &settings = {})
+            : coordinator(settings, routing, selector, clock)
+        {
+            auto rules = std::make_shared<Selector>();
+            rules->service = "desk";
+            Route all {rules, {}};
+            for (std::size_t index = 0; index < upstreams; ++index) {
+                Endpoint endpoint;
+                endpoint.upstreamId = "u" + std::to_string(index);
+                endpoint.proxyId = "p" + std::to_string(index);
+                endpoint.service = "desk";
+                endpoint.ageMsWhenSeen = 60000;
+                endpoint.slots = 6;
+                all.endpoints.push_back(std::make_shared<const Endpoint>(endpoint));
+                take(coordinator.handle(PeerConnected {endpoint.proxyId, index, 1}));
+            }
+            route = std::make_shared<const Route>(all);
+        }
+
+        void send(const std::string &method, const std::string &key, const std::string &body = {})
+        {
+            CallerRequest request;
+            request.token = ++token;
+            request.service = "desk";
+            request.method = method;
+            request.path = "/";
+            request.key = key;
+            request.body = body;
+            request.route = route;
+            take(coordinator.handle(request));
+        }
+
+        void take(const std::vector<CoordinatorOutput> &outputs)
+        {
+            for (const CoordinatorOutput &output : outputs) {
+                std::visit(Overloaded {
+                               [this](const SendRequest &item) { sent.push_back(item); },
+                               [this](const SendCancel &item) { cancelled.push_back(item); },
+                               [this](const CallerAnswer &item) { told.push_back(item); },
+                           },
+                    output);
+            }
+        }
+
+        /// Ends the request that was sent last.
+        void answer(RequestOutcome outcome, ErrorCode code = ErrorCode::None, std::uint64_t bodyLength = 0)
+        {
+            AnswerFrame frame;
+            frame.requestId = sent.back().frame.requestId;
+            frame.outcome = outcome;
+            frame.code = code;
+            frame.status = 200;
+            frame.bodyLength = bodyLength;
+            const std::uint64_t connection = std::stoul(sent.back().proxyId.substr(1));
+            take(coordinator.handle(PeerAnswer {sent.back().proxyId, connection, 1, frame}));
+        }
+
+        Clock clock = Clock::manual();
+        Random random {1};
+        RoutingState routing {{}, clock, random};
+        UpstreamSelector selector {{"dc", "region"}, routing, random};
+        RequestCoordinator coordinator;
+        std::shared_ptr<const Route> route;
+        CallerToken token = 0;
+        std::vector<SendRequest> sent;
+        std::vector<SendCancel> cancelled;
+        std::vector<CallerAnswer> told;
+    };
+
+    // Guards against retries of work that may have run, retries on the same upstream, and a wrong outcome.
+    void testOutcomesAndRetries()
+    {
+        using Event = std::function<void(Fixture &)>;
+        const Event busy = [](Fixture &fixture) {
+            fixture.answer(RequestOutcome::NotRun, ErrorCode::UpstreamBusy);
+        };
+        const Event heldOff = [](Fixture &fixture) {
+            fixture.answer(RequestOutcome::NotRun, ErrorCode::RequestHeldOff);
+        };
+        const Event noClaim = [](Fixture &fixture) {
+            fixture.answer(RequestOutcome::NotRun, ErrorCode::ClaimUnavailable);
+        };
+        const Event unknown = [](Fixture &fixture) {
+            fixture.answer(RequestOutcome::Unknown, ErrorCode::OutcomeUnknown);
+        };
+        const Event done = [](Fixture &fixture) {
+            fixture.answer(RequestOutcome::Answered);
+        };
+        const Event lost = [](Fixture &fixture) {
+            fixture.take(fixture.coordinator.handle(PeerConnectionLost {fixture.sent.back().proxyId}));
+        };
+        const Event cutOff = [lost](Fixture &fixture) {
+            fixture.answer(RequestOutcome::Answered, ErrorCode::None, 10);
+            lost(fixture);
+        };
+        const Event unreachable = [](Fixture &fixture) {
+            fixture.take(fixture.coordinator.handle(PeerConnectFailed {fixture.sent.back().proxyId}));
+        };
+        const Event late = [](Fixture &fixture) {
+            fixture.clock.advance(std::chrono::seconds(5));
+            fixture.take(fixture.coordinator.advance());
+        };
+        struct Case
+        {
+            std::string name;
+            std::string method;
+            std::vector<Event> events;
+            std::size_t tries;
+            RequestOutcome outcome;
+            ErrorCode code;
+        };
+        const std::vector<Case> cases {
+            {"answered", "POST", {done}, 1, RequestOutcome::Answered, ErrorCode::None},
+            {"busy, then answered", "POST", {busy, done}, 2, RequestOutcome::Answered, ErrorCode::None},
+            {"busy everywhere", "POST", {busy, busy, busy}, 3, RequestOutcome::NotRun, ErrorCode::UpstreamBusy},
+            {"unreachable, then answered", "POST", {unreachable, done}, 2, RequestOutcome::Answered, ErrorCode::None},
+            {"held off", "GET", {heldOff}, 1, RequestOutcome::NotRun, ErrorCode::RequestHeldOff},
+            {"no claim", "POST", {noClaim}, 1, RequestOutcome::NotRun, ErrorCode::ClaimUnavailable},
+            {"unknown order", "POST", {unknown}, 1, RequestOutcome::Unknown, ErrorCode::OutcomeUnknown},
+            {"busy, then unknown order", "POST", {busy, unknown}, 2, RequestOutcome::Unknown, ErrorCode::OutcomeUnknown},
+            {"connection of an order lost", "POST", {lost}, 1, RequestOutcome::Unknown, ErrorCode::OutcomeUnknown},
+            {"answer of an order cut off", "POST", {cutOff}, 1, RequestOutcome::Unknown, ErrorCode::AnswerTruncated},
+            {"late order", "POST", {late}, 1, RequestOutcome::Unknown, ErrorCode::DeadlineExceeded},
+            {"unknown, then answered", "GET", {unknown, done}, 2, RequestOutcome::Answered, ErrorCode::None},
+            {"cut off, then answered", "GET", {cutOff, done}, 2, RequestOutcome::Answered, ErrorCode::None},
+            {"unknown, then busy", "GET", {unknown, busy, busy}, 3, RequestOutcome::Unknown, ErrorCode::OutcomeUnknown},
+            {"unknown, then held off", "GET", {unknown, heldOff}, 2, RequestOutcome::Unknown, ErrorCode::OutcomeUnknown},
+        };
+        for (const Case &item : cases) {
+            Fixture fixture;
+            fixture.send(item.method, "key");
+            for (const Event &event : item.events) {
+                CPPUNIT_ASSERT_MESSAGE(item.name, fixture.told.empty());
+                event(fixture);
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.tries, fixture.sent.size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, std::size_t(1), fixture.told.size());
+            CPPUNIT_ASSERT_MESSAGE(item.name, fixture.told[0].outcome == item.outcome && fixture.told[0].code == item.code);
+            std::set<std::string> upstreams;
+            for (const SendRequest &sent : fixture.sent) {
+                CPPUNIT_ASSERT_MESSAGE(item.name, upstreams.insert(sent.frame.upstreamId).second);
+                CPPUNIT_ASSERT_MESSAGE(item.name, sent.frame.isRepeatable == (item.method == "GET"));
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, std::uint64_t(0), fixture.coordinator.bufferedBytes());
+            fixture.answer(RequestOutcome::Answered);
+            CPPUNIT_ASSERT_MESSAGE(item.name, fixture.told.size() == 1 && fixture.coordinator.counts().lateAnswers == 1);
+        }
+    }
+
+    // Guards against requests that leave the proxy although their rules or their size forbid it.
+    void testRefusedAtOnce()
+    {
+        Fixture fixture;
+        fixture.send("POST", "");
+        fixture.send("GET", "", std::string(1024 * 1024, 'x'));
+        fixture.route = std::make_shared<const Route>(Route {fixture.route->selector, {}});
+        fixture.send("GET", "");
+        fixture.route = nullptr;
+        fixture.send("GET", "");
+        const std::vector<ErrorCode> codes {ErrorCode::KeyRequired, ErrorCode::BodyTooLarge, ErrorCode::NoUpstream, ErrorCode::NoRoute};
+        CPPUNIT_ASSERT(fixture.sent.empty() && fixture.told.size() == codes.size());
+        for (std::size_t index = 0; index < codes.size(); ++index) {
+            CPPUNIT_ASSERT(fixture.told[index].code == codes[index] && fixture.told[index].outcome == RequestOutcome::NotRun);
+        }
+    }
+
+    // Guards against memory that grows with the callers.
+    void testBoundsOnRequestsAndBytes()
+    {
+        RequestCoordinator::Settings settings;
+        settings.maximumInFlight = 10;
+        settings.maximumBufferedBytes = 1000;
+        for (const std::size_t bodyLength : {std::size_t(1), std::size_t(300)}) {
+            Fixture fixture(5, settings);
+            for (int request = 0; request < 50; ++request) {
+                fixture.send("GET", "", std::string(bodyLength, 'x'));
+                CPPUNIT_ASSERT(fixture.coordinator.inFlight() <= 10 && fixture.coordinator.bufferedBytes() <= 1000);
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t(bodyLength == 1 ? 10 : 3), fixture.coordinator.inFlight());
+            CPPUNIT_ASSERT(fixture.told.back().outcome == RequestOutcome::NotRun);
+        }
+    }
+
+    // Guards against an answer of an earlier process or another proxy with the same request id.
+    void testAnswersFromOtherConnectionsAreDropped()
+    {
+        Fixture fixture;
+        fixture.send("POST", "key");
+        AnswerFrame frame;
+        frame.requestId = fixture.sent[0].frame.requestId;
+        frame.outcome = RequestOutcome::Answered;
+        const std::string proxyId = fixture.sent[0].proxyId;
+        const std::uint64_t connection = std::stoul(proxyId.substr(1));
+        const std::string other = proxyId == "p0" ? "p1" : "p0";
+        fixture.take(fixture.coordinator.handle(PeerAnswer {other, connection == 0 ? 1U : 0U, 1, frame}));
+        fixture.take(fixture.coordinator.handle(PeerAnswer {proxyId, connection, 2, frame}));
+        fixture.take(fixture.coordinator.handle(PeerAnswer {proxyId, 99, 1, frame}));
+        CPPUNIT_ASSERT(fixture.told.empty() && fixture.coordinator.counts().crossedAnswers == 3);
+        // A connection that replaces an earlier one ends what was sent on that.
+        fixture.take(fixture.coordinator.handle(PeerConnected {proxyId, 99, 2}));
+        CPPUNIT_ASSERT(fixture.told.size() == 1 && fixture.told[0].outcome == RequestOutcome::Unknown);
+    }
+
+    // Guards against many copies of a suspect that run in isolation at once and lose an upstream each, and
+    // against copies of an innocent that are not answered.
+    void testOneIsolatedRunDecidesForAllLikeIt()
+    {
+        for (const bool isKiller : {false, true}) {
+            Fixture fixture;
+            const std::uint64_t fingerprint = requestFingerprint("desk", "GET", "/", "");
+            fixture.routing.suspects.recordCrash("x1", {fingerprint}, false);
+            fixture.routing.suspects.recordCrash("x2", {fingerprint}, false);
+            for (int copy = 0; copy < 8; ++copy) {
+                fixture.send("GET", "");
+            }
+            CPPUNIT_ASSERT(fixture.sent.size() == 1 && fixture.sent[0].frame.isIsolated);
+            if (isKiller) {
+                fixture.answer(RequestOutcome::Unknown, ErrorCode::UpstreamCrashed);
+                CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.sent.size());
+                CPPUNIT_ASSERT_EQUAL(std::size_t(8), fixture.told.size());
+                CPPUNIT_ASSERT(fixture.told.back().code == ErrorCode::RequestHeldOff);
+            } else {
+                fixture.answer(RequestOutcome::Answered);
+                CPPUNIT_ASSERT_EQUAL(std::size_t(8), fixture.sent.size());
+                CPPUNIT_ASSERT(!fixture.sent.back().frame.isIsolated);
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestRequestCoordinator);
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Tests/LibRequest/TestUpstreamGate.cpp
@@ -0,0 +1,292 @@
+#include <LibRequest/LibRequest.h>
+#include <Support/SeededQueue.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <set>
+
+namespace Fuchsiastep {
+
+class TestUpstreamGate : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestUpstreamGate);
+    CPPUNIT_TEST(testGoodputUnderOverload);
+    CPPUNIT_TEST(testLimitsUnderAnyHistory);
+    CPPUNIT_TEST(testRefusals);
+    CPPUNIT_TEST(testHighPriorityDisplacesLow);
+    CPPUNIT_TEST(testCancelAndClaimedWork);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::uint32_t Slots = 6;
+    static constexpr std::uint64_t Connection = 7;
+
+    static PeerRequest request(std::uint64_t id, RequestPriority priority = RequestPriority::Normal, const std::string &key = {})
+    {
+        PeerRequest result;
+        result.connectionId = Connection;
+        result.frame.requestId = id;
+        result.frame.service = "desk";
+        result.frame.upstreamId = "u";
+        result.frame.method = "GET";
+        result.frame.path = "/" + std::to_string(id);
+        result.frame.isRepeatable = key.empty();
+        result.frame.key = key;
+        result.frame.timeLeftMs = 250;
+        setPriority(result.frame.headers, priority);
+        return result;
+    }
+
+    struct Fixture
+    {
+        Fixture()
+        {
+            handle(UpstreamAnnounced {"u", "desk", Slots, 100, true});
+        }
+
+        std::vector<GateOutput> handle(const GateInput &input)
+        {
+            return gate.handle(input);
+        }
+
+        Clock clock = Clock::manual();
+        CrashSuspects suspects {{}, clock};
+        UpstreamGate gate {{}, suspects, clock};
+    };
+
+    template<typename Output>
+    static std::vector<Output> only(const std::vector<GateOutput> &outputs)
+    {
+        std::vector<Output> result;
+        for (const GateOutput &output : outputs) {
+            if (const auto *item = std::get_if<Output>(&output)) {
+                result.push_back(*item);
+            }
+        }
+        return result;
+    }
+
+    /// Answers within their deadline of 250 ms during 10 s at \a factor times the capacity.
+    static std::size_t gateGoodput(std::uint64_t seed, int factor)
+    {
+        Fixture fixture;
+        Random random(seed);
+        SeededQueue<std::function<void()>> queue(fixture.clock, random, {});
+        const TimePoint end = fixture.clock.now() + std::chrono::seconds(10);
+        std::vector<TimePoint> deadlines(1);
+        std::size_t good = 0;
+        std::function<void(const std::vector<GateOutput> &)> apply = [&](const std::vector<GateOutput> &outputs) {
+            for (const auto &start : only<StartUpstreamRequest>(outputs)) {
+                queue.schedule(
+                    [&, localId = start.localId] {
+                        apply(fixture.handle(UpstreamAnswer {localId, 200, {}, {}, false}));
+                    },
+                    std::chrono::milliseconds(10) + random.jitter(std::chrono::milliseconds(20)));
+            }
+            for (const auto &answer : only<SendAnswer>(outputs)) {
+                const bool isInTime = fixture.clock.now() <= deadlines[answer.frame.requestId];
+                good += answer.frame.outcome == RequestOutcome::Answered && isInTime ? 1 : 0;
+            }
+            if (const auto next = fixture.gate.nextDeadline()) {
+                queue.schedule([&] { apply(fixture.gate.advance()); }, std::max(Duration(0), *next - fixture.clock.now()));
+            }
+        };
+        std::function<void()> arrive = [&] {
+            deadlines.push_back(fixture.clock.now() + std::chrono::milliseconds(250));
+            apply(fixture.handle(request(deadlines.size() - 1)));
+            queue.schedule(arrive, random.jitter(std::chrono::microseconds(2 * 20000 / Slots / factor)));
+        };
+        arrive();
+        while (const auto event = queue.next(end)) {
+            (*event)();
+        }
+        return good;
+    }
+
+    /// The same load on an unbounded queue that runs requests in the order of arrival.
+    static std::size_t naiveGoodput(std::uint64_t seed, int factor)
+    {
+        Random random(seed);
+        std::multiset<std::int64_t> freeAt;
+        for (std::uint32_t slot = 0; slot < Slots; ++slot) {
+            freeAt.insert(0);
+        }
+        std::size_t good = 0;
+        for (std::int64_t now = 0; now < 10'000'000; now += random.jitter(std::chrono::microseconds(2 * 20000 / Slots / factor)).count()) {
+            const std::int64_t finished = std::max(now, *freeAt.begin()) + 10000 + random.jitter(std::chrono::milliseconds(20)).count();
+            freeAt.erase(freeAt.begin());
+            freeAt.insert(finished);
+            good += finished <= now + 250'000 ? 1 : 0;
+        }
+        return good;
+    }
+
+    // Guards against goodput that collapses under overload, as it does when work waits until its caller has left.
+    void testGoodputUnderOverload()
+    {
+        constexpr std::size_t Capacity = 10 * 1000 / 20 * Slots;
+        for (const int factor : {2, 5}) {
+            for (std::uint64_t seed = 0; seed < 10; ++seed) {
+                const std::size_t good = gateGoodput(seed, factor);
+                const std::string message =
+                    "seed " + std::to_string(seed) + " factor " + std::to_string(factor) + " goodput " + std::to_string(good);
+                CPPUNIT_ASSERT_MESSAGE(message, good * 10 >= Capacity * 9);
+                CPPUNIT_ASSERT_MESSAGE(message, naiveGoodput(seed, factor) * 2 < Capacity);
+            }
+        }
+    }
+
+    // Guards against slots, connections and queue places that are exceeded, isolated runs beside others, work
+    // after a drain, two answers to one request, and counts that do not add up.
+    void testLimitsUnderAnyHistory()
+    {
+        for (std::uint64_t seed = 0; seed < 1500; ++seed) {
+            const std::string message = "seed " + std::to_string(seed);
+            Fixture fixture;
+            Random random(seed);
+            std::uint32_t slots = Slots;
+            std::map<LocalId, bool> active;
+            std::vector<LocalId> claiming;
+            std::set<std::uint64_t> answered;
+            std::uint64_t lastId = 0;
+            bool isFinished = false;
+            const auto apply = [&](const std::vector<GateOutput> &outputs) {
+                for (const GateOutput &output : outputs) {
+                    const auto *late = std::get_if<SendAnswer>(&output);
+                    const bool isRefusal = late != nullptr && late->frame.code == ErrorCode::Draining;
+                    CPPUNIT_ASSERT_MESSAGE(message, !isFinished || isRefusal || std::holds_alternative<CrashReport>(output));
+                    if (const auto *start = std::get_if<StartUpstreamRequest>(&output)) {
+                        CPPUNIT_ASSERT_MESSAGE(message, !fixture.gate.isDraining() && active.size() < slots);
+                        active[start->localId] = start->frame.isIsolated;
+                        const bool hasIsolated = std::any_of(active.begin(), active.end(), [](const auto &item) { return item.second; });
+                        CPPUNIT_ASSERT_MESSAGE(message, !hasIsolated || active.size() == 1);
+                    } else if (const auto *answer = std::get_if<SendAnswer>(&output)) {
+                        CPPUNIT_ASSERT_MESSAGE(message, answered.insert(answer->frame.requestId).second);
+                    } else if (const auto *wanted = std::get_if<ClaimWanted>(&output)) {
+                        claiming.push_back(wanted->localId);
+                    } else if (std::holds_alternative<DrainFinished>(output)) {
+                        CPPUNIT_ASSERT_MESSAGE(message, active.empty() && fixture.gate.inFlight() == 0);
+                        isFinished = true;
+                    }
+                }
+            };
+            for (int step = 0; step < 200; ++step) {
+                const std::size_t action = random.below(20);
+                if (action < 9) {
+                    PeerRequest next = request(++lastId, static_cast<RequestPriority>(random.below(3)), random.chance(0.3) ? "k" : "");
+                    next.frame.isIsolated = random.chance(0.1);
+                    apply(fixture.handle(next));
+                    apply(fixture.handle(next));
+                } else if (action < 13 && !active.empty()) {
+                    const LocalId localId = std::next(active.begin(), static_cast<std::ptrdiff_t>(random.below(active.size())))->first;
+                    active.erase(localId);
+                    apply(random.chance(0.8) ? fixture.handle(UpstreamAnswer {localId, 200, {}, {}, random.chance(0.1)})
+                                             : fixture.handle(UpstreamFailed {localId, random.chance(0.5)}));
+                } else if (action < 15 && !claiming.empty()) {
+                    const LocalId localId = claiming.back();
+                    claiming.pop_back();
+                    apply(fixture.handle(
+                        ClaimSettled {localId, static_cast<ClaimVerdict>(random.below(4)), ErrorCode::OutcomeUnknown, {}, 0, {}, {}}));
+                } else if (action == 15) {
+                    apply(fixture.handle(PeerCancel {Connection, 1 + random.below(lastId + 1)}));
+                } else if (action == 16 && random.chance(0.1)) {
+                    active.clear();
+                    apply(fixture.handle(UpstreamCrashed {}));
+                    apply(fixture.handle(UpstreamAnnounced {"u", "desk", slots, 100, true}));
+                } else if (action == 17 && random.chance(0.2)) {
+                    // Fewer slots than running requests: those finish, and nothing starts above the new limit.
+                    slots = 1 + static_cast<std::uint32_t>(random.below(8));
+                    apply(fixture.handle(UpstreamAnnounced {"u", "desk", 8, slots, true}));
+                } else if (action == 18 && random.chance(0.05)) {
+                    apply(fixture.handle(DrainRequested {}));
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::size_t(0), fixture.gate.waiting());
+                } else {
+                    fixture.clock.advance(random.jitter(std::chrono::milliseconds(30)));
+                    apply(fixture.gate.advance());
+                }
+                const RequestCounts &counts = fixture.gate.counts();
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, active.size(), std::size_t(fixture.gate.running()));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(message,
+                    counts.received,
+                    counts.answered + counts.notRun + counts.unknown + counts.cancelled + fixture.gate.inFlight());
+                CPPUNIT_ASSERT_MESSAGE(message, fixture.gate.waiting() <= std::size_t(4) * 8);
+            }
+        }
+    }
+
+    // Guards against work that is accepted where it cannot be known to be right, or run after it was refused.
+    void testRefusals()
+    {
+        struct Case
+        {
+            std::string name;
+            std::function<void(Fixture &, PeerRequest &)> prepare;
+            ErrorCode code;
+        };
+        const std::vector<Case> cases {
+            {"other upstream", [](Fixture &, PeerRequest &item) { item.frame.upstreamId = "v"; }, ErrorCode::NoUpstream},
+            {"no upstream", [](Fixture &fixture, PeerRequest &) { fixture.handle(UpstreamLost {}); }, ErrorCode::NoUpstream},
+            {"draining", [](Fixture &fixture, PeerRequest &) { fixture.handle(DrainRequested {}); }, ErrorCode::Draining},
+            {"after a pause", [](Fixture &fixture, PeerRequest &) { fixture.handle(FreezeNoticed {}); }, ErrorCode::NotReady},
+            {"no time left", [](Fixture &, PeerRequest &item) { item.frame.timeLeftMs = 0; }, ErrorCode::DeadlineExceeded},
+            {"held off",
+                [](Fixture &fixture, PeerRequest &item) {
+                    fixture.suspects.recordCrash("v", {requestFingerprint("desk", "GET", item.frame.path, "")}, true);
+                },
+                ErrorCode::RequestHeldOff},
+        };
+        for (const Case &item : cases) {
+            Fixture fixture;
+            PeerRequest sent = request(1);
+            item.prepare(fixture, sent);
+            const std::vector<GateOutput> outputs = fixture.handle(sent);
+            CPPUNIT_ASSERT_MESSAGE(item.name, only<StartUpstreamRequest>(outputs).empty());
+            const std::vector<SendAnswer> answers = only<SendAnswer>(outputs);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, std::size_t(1), answers.size());
+            CPPUNIT_ASSERT_MESSAGE(item.name, answers[0].frame.outcome == RequestOutcome::NotRun && answers[0].frame.code == item.code);
+        }
+        Fixture recovered;
+        recovered.handle(FreezeNoticed {});
+        recovered.handle(FreezeRecovered {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), only<StartUpstreamRequest>(recovered.handle(request(1))).size());
+    }
+
+    // Guards against urgent work that is refused while the queue holds work of lower priority.
+    void testHighPriorityDisplacesLow()
+    {
+        Fixture fixture;
+        std::uint64_t id = 0;
+        while (id < Slots + 4 * Slots) {
+            CPPUNIT_ASSERT(only<SendAnswer>(fixture.handle(request(++id, RequestPriority::Low))).empty());
+        }
+        const auto shedLow = only<SendAnswer>(fixture.handle(request(++id, RequestPriority::Low)));
+        CPPUNIT_ASSERT(shedLow.size() == 1 && shedLow[0].frame.requestId == id && shedLow[0].frame.code == ErrorCode::UpstreamBusy);
+        const auto displaced = only<SendAnswer>(fixture.handle(request(++id, RequestPriority::High)));
+        CPPUNIT_ASSERT(displaced.size() == 1 && displaced[0].frame.requestId == id - 2);
+        const auto started = only<StartUpstreamRequest>(fixture.handle(UpstreamAnswer {1, 200, {}, {}, false}));
+        CPPUNIT_ASSERT(started.size() == 1 && started[0].frame.requestId == id);
+    }
+
+    // Guards against a cancel that leaves a run or its slot behind, or cuts claimed work whose outcome others need.
+    void testCancelAndClaimedWork()
+    {
+        Fixture fixture;
+        const auto plain = only<StartUpstreamRequest>(fixture.handle(request(1)));
+        const auto aborted = only<AbortUpstreamRequest>(fixture.handle(PeerCancel {Connection, 1}));
+        CPPUNIT_ASSERT(aborted.size() == 1 && aborted[0].localId == plain[0].localId);
+        CPPUNIT_ASSERT_EQUAL(1U, fixture.gate.running());
+        fixture.handle(UpstreamFailed {plain[0].localId, true});
+        CPPUNIT_ASSERT_EQUAL(0U, fixture.gate.running());
+
+        const auto wanted = only<ClaimWanted>(fixture.handle(request(2, RequestPriority::Normal, "key")));
+        fixture.handle(ClaimSettled {wanted.at(0).localId, ClaimVerdict::Owned, ErrorCode::None, {}, 0, {}, {}});
+        const auto outputs = fixture.handle(PeerDisconnected {Connection});
+        CPPUNIT_ASSERT(outputs.empty());
+        const auto finished = only<ClaimFinished>(fixture.handle(UpstreamAnswer {wanted[0].localId, 201, {}, "done", false}));
+        CPPUNIT_ASSERT(finished.size() == 1 && finished[0].status == 201 && finished[0].body == "done");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestUpstreamGate);
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Tests/LibRouting/TestEvidence.cpp
@@ -0,0 +1,236 @@
+#include "RoutingFixture.h"
+
+#include <set>
+
+namespace Fuchsiastep {
+
+class TestEvidence : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestEvidence);
+    CPPUNIT_TEST(testAtMostAThirdIsEjected);
+    CPPUNIT_TEST(testOwnEvidenceOutranksHealthReports);
+    CPPUNIT_TEST(testRetriesStayWithinBudget);
+    CPPUNIT_TEST(testKillerIsBlamedAfterThreeCrashes);
+    CPPUNIT_TEST(testFlakyKillerIsBlamed);
+    CPPUNIT_TEST(testBurstOfOrdinaryCrashesBlamesNobody);
+    CPPUNIT_TEST(testSuspectsAreBoundedAndMergeInAnyOrder);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against ejecting so much of a service that the rest is overloaded, also while it shrinks.
+    void testAtMostAThirdIsEjected()
+    {
+        for (std::uint64_t seed = 0; seed < 1000; ++seed) {
+            RoutingFixture fixture(seed);
+            std::size_t size = 1 + fixture.random.below(20);
+            fixture.state.ejections.setServiceSize("desk", size);
+            for (int step = 0; step < 300; ++step) {
+                const auto endpoint = RoutingFixture::endpoint(fixture.random.below(size));
+                switch (fixture.random.below(6)) {
+                case 0:
+                    fixture.state.ejections.recordConnectionLoss(*endpoint);
+                    break;
+                case 1:
+                    fixture.state.ejections.recordSuccess(*endpoint);
+                    break;
+                case 2:
+                    fixture.state.ejections.recordHealthReport(*endpoint, fixture.random.chance(0.5));
+                    break;
+                case 3:
+                    fixture.clock.advance(std::chrono::milliseconds(fixture.random.below(800)));
+                    break;
+                case 4:
+                    if (size > 1 && fixture.random.chance(0.1)) {
+                        --size;
+                        fixture.state.forget("desk", "u" + std::to_string(size), size);
+                    }
+                    break;
+                default:
+                    fixture.state.ejections.recordFailure(*endpoint);
+                }
+                std::size_t ejected = 0;
+                for (std::size_t number = 0; number < size; ++number) {
+                    ejected += fixture.state.ejections.isEjected(*RoutingFixture::endpoint(number)) ? 1 : 0;
+                }
+                const std::string message = "seed " + std::to_string(seed) + " step " + std::to_string(step);
+                CPPUNIT_ASSERT_MESSAGE(message, ejected * 3 <= size);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, fixture.state.ejections.ejectedCount("desk"), ejected);
+            }
+        }
+    }
+
+    // Guards against a health endpoint that takes a serving upstream out or brings a failing one back.
+    void testOwnEvidenceOutranksHealthReports()
+    {
+        RoutingFixture fixture(3);
+        EjectionPolicy &ejections = fixture.state.ejections;
+        ejections.setServiceSize("desk", 9);
+        const auto serving = RoutingFixture::endpoint(0);
+        ejections.recordSuccess(*serving);
+        ejections.recordHealthReport(*serving, false);
+        CPPUNIT_ASSERT(!ejections.isEjected(*serving));
+        fixture.clock.advance(std::chrono::seconds(11));
+        ejections.recordHealthReport(*serving, false);
+        CPPUNIT_ASSERT(ejections.isEjected(*serving));
+        const auto failing = RoutingFixture::endpoint(1);
+        for (int failure = 0; failure < 3; ++failure) {
+            CPPUNIT_ASSERT(!ejections.isEjected(*failing));
+            ejections.recordFailure(*failing);
+        }
+        ejections.recordHealthReport(*failing, true);
+        CPPUNIT_ASSERT(ejections.isEjected(*failing));
+        fixture.clock.advance(std::chrono::milliseconds(1501));
+        CPPUNIT_ASSERT(!ejections.isEjected(*failing));
+        // The second ejection lasts at least twice as long as the first begins with.
+        ejections.recordConnectionLoss(*failing);
+        fixture.clock.advance(std::chrono::milliseconds(1999));
+        CPPUNIT_ASSERT(ejections.isEjected(*failing));
+    }
+
+    // Guards against retries that multiply the load of an outage.
+    void testRetriesStayWithinBudget()
+    {
+        for (std::uint64_t seed = 0; seed < 200; ++seed) {
+            RoutingFixture fixture(seed);
+            const TimePoint start = fixture.clock.now();
+            double first = 0;
+            double retries = 0;
+            for (int step = 0; step < 3000; ++step) {
+                fixture.clock.advance(fixture.random.jitter(std::chrono::milliseconds(10)));
+                fixture.state.retries.recordFirstTry();
+                ++first;
+                for (int attempt = 0; attempt < 3; ++attempt) {
+                    retries += fixture.state.retries.take() ? 1 : 0;
+                }
+                const double seconds = std::chrono::duration<double>(fixture.clock.now() - start).count();
+                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), retries <= 0.2 * first + 3 * (seconds + 1) + 1e-6);
+            }
+        }
+    }
+
+    // Guards against a killer that goes on after it crashed an upstream alone, and against innocents held off
+    // because they ran beside it. Each proxy learns of the others with a delay.
+    void testKillerIsBlamedAfterThreeCrashes()
+    {
+        for (std::uint64_t seed = 0; seed < 500; ++seed) {
+            Clock clock = Clock::manual();
+            Random random(seed);
+            constexpr std::uint64_t Killer = 99;
+            std::vector<CrashSuspects> proxies(5, CrashSuspects({}, clock));
+            int crashes = 0;
+            for (int step = 0; step < 200; ++step) {
+                CrashSuspects &proxy = proxies[random.below(proxies.size())];
+                clock.advance(std::chrono::milliseconds(600));
+                if (!proxy.isHeldOff(Killer)) {
+                    const bool isAlone = proxy.mustRunAlone(Killer);
+                    std::vector<std::uint64_t> inFlight {Killer};
+                    while (!isAlone && inFlight.size() < 6) {
+                        inFlight.push_back(random.below(20));
+                    }
+                    proxy.recordCrash("u" + std::to_string(step), inFlight, isAlone);
+                    ++crashes;
+                }
+                for (std::uint64_t innocent = 0; innocent < 20; ++innocent) {
+                    proxy.recordCompletion(innocent, proxy.mustRunAlone(innocent));
+                }
+                const std::vector<CrashSuspectEntry> changes = proxy.takeChanges(100);
+                for (CrashSuspects &other : proxies) {
+                    other.merge(changes);
+                }
+                for (const CrashSuspects &any : proxies) {
+                    for (std::uint64_t innocent = 0; innocent < 20; ++innocent) {
+                        CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), !any.isHeldOff(innocent));
+                    }
+                }
+            }
+            // 120 s pass: three crashes, and one probe after the first hold-off of 60 s.
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + " crashes " + std::to_string(crashes), crashes >= 3 && crashes <= 4);
+        }
+    }
+
+    // Guards against a killer that crashes only some upstreams and is cleared each time it does not.
+    void testFlakyKillerIsBlamed()
+    {
+        int crashes = 0;
+        constexpr int Seeds = 500;
+        for (std::uint64_t seed = 0; seed < Seeds; ++seed) {
+            Clock clock = Clock::manual();
+            Random random(seed);
+            CrashSuspects suspects({}, clock);
+            for (int step = 0; step < 60; ++step) {
+                clock.advance(std::chrono::milliseconds(600));
+                const bool isAlone = suspects.mustRunAlone(1);
+                if (suspects.isHeldOff(1)) {
+                    continue;
+                }
+                if (random.chance(0.5)) {
+                    suspects.recordCrash("u" + std::to_string(step), {1}, isAlone);
+                    ++crashes;
+                } else {
+                    suspects.recordCompletion(1, isAlone);
+                }
+            }
+        }
+        // Each trial alone finds it with one chance in two: 2 trials, 2 crashes before each, and the last one.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(crashes), crashes <= 6 * Seeds);
+    }
+
+    // Guards against innocents blamed because upstreams crash for reasons of their own, even while one of the
+    // innocents runs in isolation.
+    void testBurstOfOrdinaryCrashesBlamesNobody()
+    {
+        for (std::uint64_t seed = 0; seed < 500; ++seed) {
+            Clock clock = Clock::manual();
+            Random random(seed);
+            CrashSuspects suspects({}, clock);
+            for (int crash = 0; crash < 60; ++crash) {
+                clock.advance(std::chrono::milliseconds(random.below(1000)));
+                const std::uint64_t first = random.below(30);
+                const bool isAlone = suspects.mustRunAlone(first) && random.chance(0.1);
+                std::vector<std::uint64_t> inFlight {first};
+                while (!isAlone && inFlight.size() < 6) {
+                    inFlight.push_back(random.below(30));
+                }
+                suspects.recordCrash("u" + std::to_string(crash), inFlight, isAlone);
+                for (std::uint64_t innocent = 0; innocent < 30; ++innocent) {
+                    CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), !suspects.isHeldOff(innocent));
+                    // A run of it ends well before the next crash, alone where that is asked for.
+                    suspects.recordCompletion(innocent, suspects.mustRunAlone(innocent));
+                }
+            }
+        }
+    }
+
+    // Guards against memory that grows with hostile input, and against proxies that disagree for good.
+    void testSuspectsAreBoundedAndMergeInAnyOrder()
+    {
+        Clock clock = Clock::manual();
+        CrashSuspects::Settings settings;
+        settings.maximumEntries = 100;
+        CrashSuspects bounded(settings, clock);
+        for (std::uint64_t fingerprint = 1; fingerprint < 2000; ++fingerprint) {
+            bounded.recordCrash("u" + std::to_string(fingerprint), {fingerprint}, fingerprint == 5);
+            CPPUNIT_ASSERT(bounded.size() <= settings.maximumEntries);
+        }
+        for (std::uint64_t seed = 0; seed < 500; ++seed) {
+            Random random(seed);
+            std::vector<CrashSuspectEntry> entries;
+            for (int entry = 0; entry < 6; ++entry) {
+                const auto count = static_cast<std::uint32_t>(random.below(4));
+                entries.push_back({1, count, clock.unixMilliseconds() - entry * 100, count == 3});
+            }
+            CrashSuspects left({}, clock);
+            CrashSuspects right({}, clock);
+            left.merge(entries);
+            left.merge(entries);
+            std::shuffle(entries.begin(), entries.end(), std::mt19937_64(seed));
+            right.merge(entries);
+            right.merge(left.entries());
+            left.merge(right.entries());
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), left.entries() == right.entries());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestEvidence);
+
+} // namespace Fuchsiastep
