--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -236,7 +236,7 @@
     if (!passSuspicion(token, pending, isIsolated)) {
         return;
     }
-    Result<std::shared_ptr<const Endpoint>> endpoint = m_selector.trySelect(pending.request.route, pending.triedUpstreamIds);
+    const Result<std::shared_ptr<const Endpoint>> endpoint = m_selector.trySelect(pending.request.route, pending.triedUpstreamIds);
     if (isError(endpoint)) {
         const bool isFirst = pending.triedUpstreamIds.empty();
         finishWithout(token,
@@ -253,7 +253,7 @@
     } else {
         ++m_counts.retries;
     }
-    send(token, pending, valueOf(std::move(endpoint)), isIsolated);
+    send(token, pending, valueOf(endpoint), isIsolated);
 }
 
 bool RequestCoordinator::passSuspicion(CallerToken token, Pending &pending, bool &isIsolated)
@@ -275,7 +275,7 @@
     return true;
 }
 
-void RequestCoordinator::send(CallerToken token, Pending &pending, std::shared_ptr<const Endpoint> endpoint, bool isIsolated)
+void RequestCoordinator::send(CallerToken token, Pending &pending, const std::shared_ptr<const Endpoint> &endpoint, bool isIsolated)
 {
     const CallerRequest &request = pending.request;
     RequestFrame frame;
--- a/Libraries/LibRequest/RequestCoordinator.h
+++ b/Libraries/LibRequest/RequestCoordinator.h
@@ -77,7 +77,7 @@
     void dispatch(CallerToken token);
     /// False where the request was held off or waits for another one like it.
     bool passSuspicion(CallerToken token, Pending &pending, bool &isIsolated);
-    void send(CallerToken token, Pending &pending, std::shared_ptr<const Endpoint> endpoint, bool isIsolated);
+    void send(CallerToken token, Pending &pending, const std::shared_ptr<const Endpoint> &endpoint, bool isIsolated);
     void endAnswered(CallerToken token, Pending &pending);
     void endTry(CallerToken token, Pending &pending);
     void retryOrFinish(CallerToken token, Pending &pending, RequestOutcome outcome, ErrorCode code, std::string detail);
--- a/Libraries/LibRouting/CrashSuspects.cpp
+++ b/Libraries/LibRouting/CrashSuspects.cpp
@@ -21,9 +21,9 @@
     for (const std::uint64_t fingerprint : addCrash(upstreamId, fingerprints)) {
         const Record *known = find(fingerprint);
         Record record = known != nullptr ? *known : Record {};
-        record.crashCount += wasAlone ? CrashSuspectEntry::AloneCrashWeight : 1;
+        record.crashCount += wasAlone ? AloneCrashWeight : 1;
         const std::uint32_t needed = hasCrashWithout(fingerprint) ? 2 : 1;
-        record.isBlamed = record.isBlamed || record.crashCount / CrashSuspectEntry::AloneCrashWeight >= needed;
+        record.isBlamed = record.isBlamed || record.crashCount / AloneCrashWeight >= needed;
         record.unixMilliseconds = m_clock.unixMilliseconds();
         store(fingerprint, record);
     }
@@ -69,7 +69,7 @@
     const std::int64_t now = m_clock.unixMilliseconds();
     for (const CrashSuspectEntry &entry : entries) {
         // A clock that runs ahead elsewhere must not lengthen the hold-off here.
-        const Record incoming {entry.crashCount, std::min(entry.unixMilliseconds, now), entry.isBlamed};
+        const Record incoming {entry.count, std::min(entry.unixMilliseconds, now), entry.isBlamed};
         const Record *known = find(entry.fingerprint);
         if (isForgotten(incoming)) {
             continue;
@@ -130,7 +130,7 @@
     }
     const std::int64_t limit = toMilliseconds(m_settings.maximumHoldOff);
     std::int64_t duration = toMilliseconds(m_settings.holdOff);
-    for (std::uint32_t crash = record.crashCount / CrashSuspectEntry::AloneCrashWeight; crash > 1 && duration < limit; --crash) {
+    for (std::uint32_t crash = record.crashCount / AloneCrashWeight; crash > 1 && duration < limit; --crash) {
         duration *= 2;
     }
     return std::min(duration, limit);
--- a/Libraries/LibRouting/CrashSuspects.h
+++ b/Libraries/LibRouting/CrashSuspects.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibCore/LibCore.h>
-#include <LibRouting/CrashSuspectEntry.h>
+#include <LibMembership/CrashSuspectEntry.h>
 
 #include <cstdint>
 #include <deque>
@@ -16,6 +16,10 @@
 class CrashSuspects
 {
 public:
+    /// A crash of an upstream on which the request ran alone adds this to CrashSuspectEntry::count, so that one
+    /// counter keeps both kinds apart. Count 0 is an acquittal: the request ran alone to its end.
+    static constexpr std::uint32_t AloneCrashWeight = 1000;
+
     struct Settings
     {
         /// Crashes after which a request must run alone.
--- a/Libraries/LibRouting/LibRouting.h
+++ b/Libraries/LibRouting/LibRouting.h
@@ -2,8 +2,8 @@
 
 // The public header of LibRouting: which upstream takes a request, and when a request is tried again.
 
+#include <LibMembership/CrashSuspectEntry.h>
 #include <LibRouting/ColdStartRamp.h>
-#include <LibRouting/CrashSuspectEntry.h>
 #include <LibRouting/CrashSuspects.h>
 #include <LibRouting/EjectionPolicy.h>
 #include <LibRouting/LoadEstimate.h>
--- a/Tests/LibRequest/FakePlatform.h
+++ b/Tests/LibRequest/FakePlatform.h
@@ -13,27 +13,22 @@
     /// With \a isStale a read shows what the rows were before their last write.
     PlatformResponse apply(const PlatformRequest &request, bool isStale)
     {
-        return std::visit(Overloaded {
-                              [&](const ReadRows &read) -> PlatformResponse {
-                                  Rows result;
-                                  for (const std::string &key : read.keys) {
-                                      result.rows.push_back(row(key, isStale));
-                                  }
-                                  return result;
-                              },
-                              [&](const ScanRows &) -> PlatformResponse { return Rows {}; },
-                              [&](const Transaction &transaction) { return commit(transaction); },
-                              [&](const GetObject &get) -> PlatformResponse {
-                                  const auto object = m_objects.find(get.name);
-                                  return object == m_objects.end() ? PlatformResponse(ObjectMissing {})
-                                                                   : PlatformResponse(ObjectContent {object->second});
-                              },
-                              [&](const PutObject &put) -> PlatformResponse {
-                                  m_objects[put.name] = put.content;
-                                  return Committed {++m_revision};
-                              },
-                          },
-            request);
+        if (const auto *read = std::get_if<ReadRows>(&request)) {
+            Rows result;
+            for (const std::string &key : read->keys) {
+                result.rows.push_back(row(key, isStale));
+            }
+            return result;
+        }
+        if (const auto *get = std::get_if<GetObject>(&request)) {
+            const auto object = m_objects.find(get->name);
+            return object == m_objects.end() ? PlatformResponse(ObjectMissing {}) : PlatformResponse(ObjectContent {object->second});
+        }
+        if (const auto *put = std::get_if<PutObject>(&request)) {
+            m_objects[put->name] = put->content;
+            return Committed {++m_revision};
+        }
+        return commit(std::get<Transaction>(request));
     }
 
     Row row(const std::string &key, bool isStale = false) const
--- a/Tests/LibRequest/TestAnswerAssembly.cpp
+++ b/Tests/LibRequest/TestAnswerAssembly.cpp
@@ -34,7 +34,7 @@
                 frames.push_back(frames[random.below(frameCount)]);
             }
             const auto isLost = [&](std::size_t index) {
-                return index == lost || (index == frameCount && frames[index] == frames[lost % frameCount]);
+                return lost < frameCount && frames[index] == frames[lost];
             };
             std::vector<std::size_t> order;
             for (std::size_t index = 0; index < frames.size(); ++index) {
@@ -42,7 +42,7 @@
             }
             AnswerAssembly assembly(1000);
             for (const std::size_t index : order) {
-                if (lost >= frameCount || !isLost(index)) {
+                if (!isLost(index)) {
                     std::visit([&](const auto &frame) { assembly.add(frame); }, frames[index]);
                 }
             }
--- a/Tests/LibRequest/TestClaimLedger.cpp
+++ b/Tests/LibRequest/TestClaimLedger.cpp
@@ -22,17 +22,9 @@
     struct Fixture
     {
         explicit Fixture(const std::string &proxyId, FakePlatform &sharedPlatform, std::uint64_t incarnation = 1)
-            : platform(sharedPlatform), ledger(settings(proxyId, incarnation), clock, random)
+            : platform(sharedPlatform), ledger({proxyId, incarnation}, clock, random)
         { }
 
-        static ClaimLedger::Settings settings(const std::string &proxyId, std::uint64_t incarnation)
-        {
-            ClaimLedger::Settings result;
-            result.proxyId = proxyId;
-            result.incarnation = incarnation;
-            return result;
-        }
-
         void take(const std::vector<ClaimOutput> &outputs)
         {
             for (const ClaimOutput &output : outputs) {
--- a/Tests/LibRequest/TestRequestCoordinator.cpp
+++ b/Tests/LibRequest/TestRequestCoordinator.cpp
@@ -23,29 +23,17 @@
             rules->service = "desk";
             Route all {rules, {}};
             for (std::size_t index = 0; index < upstreams; ++index) {
-                Endpoint endpoint;
-                endpoint.upstreamId = "u" + std::to_string(index);
-                endpoint.proxyId = "p" + std::to_string(index);
-                endpoint.service = "desk";
-                endpoint.ageMsWhenSeen = 60000;
-                endpoint.slots = 6;
-                all.endpoints.push_back(std::make_shared<const Endpoint>(endpoint));
-                take(coordinator.handle(PeerConnected {endpoint.proxyId, index, 1}));
+                const std::string number = std::to_string(index);
+                all.endpoints.push_back(std::make_shared<const Endpoint>(
+                    Endpoint {"u" + number, "desk", "p" + number, 1, "dc", "region", {}, {}, 6, false, 60000}));
+                take(coordinator.handle(PeerConnected {"p" + number, index, 1}));
             }
             route = std::make_shared<const Route>(all);
         }
 
         void send(const std::string &method, const std::string &key, const std::string &body = {})
         {
-            CallerRequest request;
-            request.token = ++token;
-            request.service = "desk";
-            request.method = method;
-            request.path = "/";
-            request.key = key;
-            request.body = body;
-            request.route = route;
-            take(coordinator.handle(request));
+            take(coordinator.handle(CallerRequest {++token, "till", "desk", method, "/", {}, key, std::nullopt, body, route}));
         }
 
         void take(const std::vector<CoordinatorOutput> &outputs)
@@ -63,12 +51,7 @@
         /// Ends the request that was sent last.
         void answer(RequestOutcome outcome, ErrorCode code = ErrorCode::None, std::uint64_t bodyLength = 0)
         {
-            AnswerFrame frame;
-            frame.requestId = sent.back().frame.requestId;
-            frame.outcome = outcome;
-            frame.code = code;
-            frame.status = 200;
-            frame.bodyLength = bodyLength;
+            const AnswerFrame frame {sent.back().frame.requestId, outcome, code, {}, 200, {}, {}, bodyLength, {}};
             const std::uint64_t connection = std::stoul(sent.back().proxyId.substr(1));
             take(coordinator.handle(PeerAnswer {sent.back().proxyId, connection, 1, frame}));
         }
--- a/Tests/LibRouting/RoutingFixture.h
+++ b/Tests/LibRouting/RoutingFixture.h
@@ -16,15 +16,8 @@
     static std::shared_ptr<const Endpoint> endpoint(
         std::size_t number, const std::string &dataCentre = "dc-a", const std::string &region = "region-a", std::uint32_t ageMs = 60000)
     {
-        Endpoint result;
-        result.upstreamId = "u" + std::to_string(number);
-        result.proxyId = "p" + std::to_string(number);
-        result.service = "desk";
-        result.dataCentre = dataCentre;
-        result.region = region;
-        result.slots = 6;
-        result.ageMsWhenSeen = ageMs;
-        return std::make_shared<const Endpoint>(result);
+        const std::string id = std::to_string(number);
+        return std::make_shared<const Endpoint>(Endpoint {"u" + id, "desk", "p" + id, 1, dataCentre, region, {}, {}, 6, false, ageMs});
     }
 
     static std::shared_ptr<const Route> route(std::vector<std::shared_ptr<const Endpoint>> endpoints, const RouteRules &rules = {})
