--- a/Libraries/LibRequest/RequestCoordinator.h
+++ b/Libraries/LibRequest/RequestCoordinator.h
@@ -51,8 +51,6 @@
         std::shared_ptr<const Endpoint> endpoint;
         bool isIsolated = false;
         AnswerAssembly assembly;
-        /// Connection of the first frame of the answer; the rest must come on the same one.
-        std::optional<std::pair<std::uint64_t, std::uint64_t>> connection;
     };
     struct Pending
     {
@@ -79,7 +77,7 @@
     void dispatch(CallerToken token);
     /// False where the request was held off or waits for another one like it.
     bool passSuspicion(CallerToken token, Pending &pending, bool &isIsolated);
-    void send(CallerToken token, Pending &pending, std::shared_ptr<const Endpoint> endpoint, bool isIsolated);
+    void send(CallerToken token, Pending &pending, const std::shared_ptr<const Endpoint> &endpoint, bool isIsolated);
     void endAnswered(CallerToken token, Pending &pending);
     void endTry(CallerToken token, Pending &pending);
     void retryOrFinish(CallerToken token, Pending &pending, RequestOutcome outcome, ErrorCode code, std::string detail);
