Keep an unset control address unset in the member record codec

Cause: TestMemberData failed: a record without a control address came back with the IP number of its peer address. Change: the IP number is filled in only where there is a port.

--- a/Libraries/LibMembership/MemberRecordCodec.cpp
+++ b/Libraries/LibMembership/MemberRecordCodec.cpp
@@ -79,7 +79,7 @@
         record.address.port = static_cast<std::uint16_t>(fields.takeUnsigned(std::numeric_limits<std::uint16_t>::max()));
         record.controlAddress.ip = fields.takeString();
         record.controlAddress.port = static_cast<std::uint16_t>(fields.takeUnsigned(std::numeric_limits<std::uint16_t>::max()));
-        if (record.controlAddress.ip.empty()) {
+        if (record.controlAddress.ip.empty() && record.controlAddress.port != 0) {
             record.controlAddress.ip = record.address.ip;
         }
         record.dataCentre = fields.takeString();
