Pass member records by reference in LibMembership

Cause: clang-tidy named copies of records that are only read. Change: const references in MembershipTable and the test cluster.

--- a/Libraries/LibMembership/MembershipTable.cpp
+++ b/Libraries/LibMembership/MembershipTable.cpp
@@ -10,7 +10,7 @@
         > std::tie(current.incarnation, current.sequence, current.state);
 }
 
-MembershipTable::MembershipTable(MemberRecord self, const Clock &clock, Duration tombstoneTime)
+MembershipTable::MembershipTable(const MemberRecord &self, const Clock &clock, Duration tombstoneTime)
     : m_clock(clock), m_tombstoneTime(tombstoneTime), m_selfId(self.proxyId)
 {
     merge(self);
--- a/Libraries/LibMembership/MembershipTable.h
+++ b/Libraries/LibMembership/MembershipTable.h
@@ -24,7 +24,7 @@
 public:
     static constexpr Duration DefaultTombstoneTime = std::chrono::minutes(10);
 
-    MembershipTable(MemberRecord self, const Clock &clock, Duration tombstoneTime = DefaultTombstoneTime);
+    MembershipTable(const MemberRecord &self, const Clock &clock, Duration tombstoneTime = DefaultTombstoneTime);
 
     const MemberRecord &self() const;
 
--- a/Libraries/LibMembership/RingRange.cpp
+++ b/Libraries/LibMembership/RingRange.cpp
@@ -22,6 +22,7 @@
     }
     std::sort(positions.begin(), positions.end());
     std::vector<std::string> ids;
+    ids.reserve(positions.size());
     for (auto &[position, id] : positions) {
         ids.push_back(std::move(id));
     }
--- a/Tests/LibMembership/Cluster.h
+++ b/Tests/LibMembership/Cluster.h
@@ -63,7 +63,7 @@
 public:
     struct Proxy
     {
-        Proxy(MemberRecord record, const Clock &clock, Random &random)
+        Proxy(const MemberRecord &record, const Clock &clock, Random &random)
             : table(record, clock)
             , detector({}, table, clock, random)
             , contacts({}, table, clock, random)
