--- a/Libraries/LibMembership/StartupGate.cpp
+++ b/Libraries/LibMembership/StartupGate.cpp
@@ -139,7 +139,11 @@
 
 bool StartupGate::hasMajority() const
 {
-    return !m_answers.empty() && m_answers.size() * 2 > m_asked.size();
+    // A peer that holds nothing has just started as well; it neither knows the newest version nor held it before.
+    const auto knowing =
+        static_cast<std::size_t>(std::count_if(m_answers.begin(), m_answers.end(), [](const auto &answer) { return answer.second > 0; }));
+    const std::size_t unknowing = m_answers.size() - knowing;
+    return knowing * 2 + unknowing > m_asked.size();
 }
 
 ConfigurationVersion StartupGate::highestAnswer() const
--- a/Libraries/LibMembership/StartupGate.h
+++ b/Libraries/LibMembership/StartupGate.h
@@ -31,8 +31,8 @@
 
 /// Keeps the proxy from serving until it holds the newest version around it. That is the version of the platform's head
 /// where it can be read; otherwise the highest version among the peers asked, of which more than half must have
-/// answered when the round ends. Rounds repeat until one succeeds. After a pause one round is enough, because the proxy
-/// still holds its version and cannot fall behind it.
+/// answered when the round ends; peers that hold nothing do not count. Rounds repeat until one succeeds. After a pause one round is enough,
+/// because the proxy still holds its version and cannot fall behind it.
 class StartupGate
 {
 public:
--- a/Tests/LibMembership/TestDistribution.cpp
+++ b/Tests/LibMembership/TestDistribution.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(testNaiveResendCostsMore);
     CPPUNIT_TEST(testPlatformReadsDoNotGrowWithMembers);
     CPPUNIT_TEST(testOthersHoldBeforeReaderAdopts);
+    CPPUNIT_TEST(testRangeIsReassigned);
     CPPUNIT_TEST(testInvalidVersionIsSkipped);
     CPPUNIT_TEST(testGateAsksAgain);
     CPPUNIT_TEST_SUITE_END();
@@ -276,6 +277,29 @@
         }
     }
 
+    // Guards against a range that stays with a delegate which does not acknowledge; anti-entropy would hide that.
+    void testRangeIsReassigned()
+    {
+        Lone lone(40);
+        lone.platform.change();
+        lone.distributor.handle(ConfigurationFound {lone.platform.deltas[0]});
+        lone.clock.advance(seconds(1));
+        const auto first = lone.distributor.advance();
+        const auto ranges = pushes(first);
+        const auto delegates = peersOf(first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {8}, ranges.size());
+        for (std::size_t i = 1; i < delegates.size(); ++i) {
+            lone.distributor.handle(PeerFrame {delegates[i], ConfigurationAckFrame {1, true}});
+        }
+        lone.clock.advance(milliseconds(299));
+        CPPUNIT_ASSERT(pushes(lone.distributor.advance()).empty());
+        lone.clock.advance(milliseconds(1));
+        const auto second = lone.distributor.advance();
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, pushes(second).size());
+        CPPUNIT_ASSERT(pushes(second)[0] == ranges[0]);
+        CPPUNIT_ASSERT(peersOf(second)[0] != delegates[0]);
+    }
+
     // Guards against a partly applied or blocking version that is not valid at its source.
     void testInvalidVersionIsSkipped()
     {
--- a/Tests/LibMembership/TestMembers.cpp
+++ b/Tests/LibMembership/TestMembers.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(testHerdKilledAndBack);
     CPPUNIT_TEST(testPausedMember);
     CPPUNIT_TEST(testAsymmetricCut);
+    CPPUNIT_TEST(testRemovalNeedsTwoAccusers);
     CPPUNIT_TEST(testOwnIsolationRemovesNobody);
     CPPUNIT_TEST(testLeavingMemberIsOutWithinSeconds);
     CPPUNIT_TEST(testTwoMembers);
@@ -142,6 +143,39 @@
         }
     }
 
+    // Guards against a removal on the word of one member, where the accused cannot hear of it and refute.
+    void testRemovalNeedsTwoAccusers()
+    {
+        Clock clock = Clock::manual();
+        Random random(1);
+        const auto record = [](std::size_t index) {
+            const std::string id = "proxy-" + std::to_string(index);
+            return MemberRecord {id, 1, 0, MemberState::Serving, Cluster::addressOf(index), "tivoli", "munster"};
+        };
+        MembershipTable table(record(0), clock);
+        FailureDetector detector({}, table, clock, random);
+        detector.handle(MergeRecords {{record(1), record(2), record(3), record(4)}});
+        // Everybody but proxy-1 answers at once.
+        const auto run = [&](Duration length) {
+            for (const TimePoint end = clock.now() + length; clock.now() < end; clock.advance(milliseconds(50))) {
+                for (const FailureDetectorOutput &output : detector.advance()) {
+                    const auto *send = std::get_if<SendProbe>(&output);
+                    const auto *ping = send == nullptr ? nullptr : std::get_if<Ping>(&send->datagram);
+                    if (ping != nullptr && ping->targetId != "proxy-1") {
+                        detector.handle(ReceivedProbe {send->receiver, Ack {{ping->targetId}, ping->sequence, ping->targetId}});
+                    }
+                }
+            }
+        };
+        run(seconds(60));
+        CPPUNIT_ASSERT(table.find("proxy-1")->state == MemberState::Suspect);
+        MemberUpdate accusation {record(1), "proxy-2"};
+        accusation.record.state = MemberState::Suspect;
+        detector.handle(ReceivedProbe {Cluster::addressOf(2), Ack {{"proxy-2", {}, {accusation}}, 0, "proxy-2"}});
+        run(seconds(2));
+        CPPUNIT_ASSERT(table.find("proxy-1")->state == MemberState::Failed);
+    }
+
     // Guards against a proxy that empties its table because it is cut off itself, also where it still can send.
     void testOwnIsolationRemovesNobody()
     {
