Implement membership, failure detection and distribution

Cause: proxies have to know each other, notice failures and receive each configuration without a coordination service.

--- /dev/null
+++ b/Libraries/LibMembership/ContactKeeperMessages.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <LibMembership/MergeRecords.h>
+#include <LibMembership/PeerFrame.h>
+#include <LibMembership/SendFrame.h>
+#include <LibPlatform/PlatformCall.h>
+
+#include <cstddef>
+#include <variant>
+
+namespace Fuchsiastep {
+
+using ContactKeeperInput = std::variant<PlatformReply, PeerFrame>;
+
+/// A contact answered with its member records.
+struct JoinCompleted
+{
+    std::size_t memberCount = 0;
+};
+
+using ContactKeeperOutput = std::variant<PlatformCall, SendFrame, SendFrameToAddress, MergeRecords, JoinCompleted>;
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibMembership/DistributorMessages.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <LibConfiguration/ConfigurationDelta.h>
+#include <LibCore/Error.h>
+#include <LibMembership/MemberChange.h>
+#include <LibMembership/PeerFrame.h>
+#include <LibMembership/PeerVersion.h>
+#include <LibMembership/SendFrame.h>
+
+#include <string>
+#include <variant>
+
+namespace Fuchsiastep {
+
+/// The reader found a new version in the platform.
+struct ConfigurationFound
+{
+    std::variant<ConfigurationDelta, Configuration::Pointer> content;
+};
+
+/// Whether this proxy can read the platform. While it cannot, a reader asks the readers of other data centres.
+struct PlatformReadability
+{
+    bool isReadable = true;
+};
+
+using DistributorInput = std::variant<ConfigurationFound, PeerFrame, PeerVersion, MemberChange, PlatformReadability>;
+
+/// The holder moved to this configuration.
+struct ConfigurationAdopted
+{
+    Configuration::Pointer configuration;
+};
+
+/// A delta or snapshot was not applied. \a peer is empty where it came from the platform.
+struct ConfigurationRejected
+{
+    Error error;
+    std::string peer;
+};
+
+/// A delegate did not acknowledge; its range went to \a newDelegate.
+struct RangeReassigned
+{
+    std::string oldDelegate;
+    std::string newDelegate;
+};
+
+using DistributorOutput = std::variant<SendFrame, ConfigurationAdopted, ConfigurationRejected, RangeReassigned>;
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibMembership/FailureDetectorMessages.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibCore/SocketAddress.h>
+#include <LibMembership/CrashSuspectEntry.h>
+#include <LibMembership/MemberChange.h>
+#include <LibMembership/MergeRecords.h>
+#include <LibMembership/PeerVersion.h>
+#include <LibMembership/ProbeDatagram.h>
+
+#include <optional>
+#include <variant>
+
+namespace Fuchsiastep {
+
+/// A probe arrived from \a sender.
+struct ReceivedProbe
+{
+    SocketAddress sender;
+    ProbeDatagram datagram;
+};
+
+/// The configuration that this proxy holds, for its probes.
+struct HeldVersionChanged
+{
+    VersionStamp held;
+};
+
+/// The proxy changes its own record: joining, serving or draining, and its upstream.
+struct OwnRecordChanged
+{
+    MemberState state = MemberState::Serving;
+    std::optional<Endpoint> endpoint;
+};
+
+/// The proxy stops in an orderly way.
+struct LeaveRequested
+{ };
+
+/// This proxy recorded a crash suspect.
+struct CrashSuspectRecorded
+{
+    CrashSuspectEntry entry;
+};
+
+/// The platform or a proxy of another data centre answered, so that this proxy is not isolated.
+struct OutsideReached
+{ };
+
+using FailureDetectorInput =
+    std::variant<ReceivedProbe, MergeRecords, HeldVersionChanged, OwnRecordChanged, LeaveRequested, CrashSuspectRecorded, OutsideReached>;
+
+struct SendProbe
+{
+    SocketAddress receiver;
+    ProbeDatagram datagram;
+};
+
+/// Another member recorded a crash suspect, or knows more about one.
+struct CrashSuspectLearned
+{
+    CrashSuspectEntry entry;
+};
+
+/// Most peers disappeared at once; no member is removed until IsolationEnded.
+struct IsolationSuspected
+{
+    std::size_t missed = 0;
+    std::size_t probed = 0;
+};
+
+struct IsolationEnded
+{ };
+
+/// The process did not run for this long.
+struct FreezeDetected
+{
+    Duration length {};
+};
+
+/// An OwnRecordChanged was refused. Its code is DatagramTooLong: the announced labels do not fit a probe.
+struct OwnRecordRejected
+{
+    Error error;
+};
+
+using FailureDetectorOutput = std::variant<SendProbe,
+    MemberChange,
+    PeerVersion,
+    CrashSuspectLearned,
+    IsolationSuspected,
+    IsolationEnded,
+    FreezeDetected,
+    OwnRecordRejected>;
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibMembership/MembershipTable.cpp
@@ -0,0 +1,158 @@
+#include <LibMembership/MembershipTable.h>
+
+#include <tuple>
+
+namespace Fuchsiastep {
+
+bool supersedes(const MemberRecord &candidate, const MemberRecord &current)
+{
+    return std::tie(candidate.incarnation, candidate.sequence, candidate.state)
+        > std::tie(current.incarnation, current.sequence, current.state);
+}
+
+MembershipTable::MembershipTable(const MemberRecord &self, const Clock &clock, Duration tombstoneTime)
+    : m_clock(clock), m_tombstoneTime(tombstoneTime), m_selfId(self.proxyId)
+{
+    merge(self);
+}
+
+const MemberRecord &MembershipTable::self() const
+{
+    return m_entries.find(m_selfId)->second.record;
+}
+
+std::optional<MemberChange> MembershipTable::merge(const MemberRecord &record)
+{
+    const auto found = m_entries.find(record.proxyId);
+    const bool isKnown = found != m_entries.end();
+    if (isKnown && !supersedes(record, found->second.record)) {
+        return std::nullopt;
+    }
+    MemberChange change {isKnown ? std::optional(found->second.record) : std::nullopt, record};
+    if (isKnown) {
+        unindex(found->second.record);
+    }
+    m_entries.insert_or_assign(record.proxyId, Entry {record, ++m_revision, m_clock.now()});
+    index(record);
+    return change;
+}
+
+void MembershipTable::expireTombstones()
+{
+    const TimePoint limit = m_clock.now() - m_tombstoneTime;
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        const bool isKept = memberStateInfo(entry->second.record.state).isLive || entry->second.changedAt > limit;
+        if (isKept || entry->first == m_selfId) {
+            ++entry;
+            continue;
+        }
+        unindex(entry->second.record);
+        entry = m_entries.erase(entry);
+    }
+}
+
+const MemberRecord *MembershipTable::find(std::string_view proxyId) const
+{
+    const auto found = m_entries.find(proxyId);
+    return found == m_entries.end() ? nullptr : &found->second.record;
+}
+
+const MemberRecord *MembershipTable::findUpstream(std::string_view upstreamId) const
+{
+    const auto found = m_byUpstream.find(upstreamId);
+    return found == m_byUpstream.end() ? nullptr : find(found->second);
+}
+
+std::vector<const MemberRecord *> MembershipTable::liveMembers(std::string_view dataCentre) const
+{
+    return select(dataCentre, [](const MemberRecord &record) { return memberStateInfo(record.state).isLive; });
+}
+
+std::vector<const MemberRecord *> MembershipTable::livePeers() const
+{
+    return select(self().dataCentre,
+        [this](const MemberRecord &record) { return memberStateInfo(record.state).isLive && record.proxyId != m_selfId; });
+}
+
+std::vector<const MemberRecord *> MembershipTable::failedPeers() const
+{
+    return select(self().dataCentre, [](const MemberRecord &record) { return record.state == MemberState::Failed; });
+}
+
+std::vector<std::string> MembershipTable::dataCentres() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, ids] : m_byDataCentre) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+std::vector<MemberRecord> MembershipTable::records() const
+{
+    std::vector<MemberRecord> records;
+    records.reserve(m_entries.size());
+    for (const auto &[id, entry] : m_entries) {
+        records.push_back(entry.record);
+    }
+    return records;
+}
+
+std::vector<MemberRecord> MembershipTable::changedSince(std::string_view dataCentre, std::uint64_t revision) const
+{
+    std::vector<MemberRecord> changed;
+    const auto ids = m_byDataCentre.find(dataCentre);
+    if (ids == m_byDataCentre.end()) {
+        return changed;
+    }
+    for (const std::string &id : ids->second) {
+        const Entry &entry = m_entries.find(id)->second;
+        if (entry.revision > revision) {
+            changed.push_back(entry.record);
+        }
+    }
+    return changed;
+}
+
+template<typename Predicate>
+std::vector<const MemberRecord *> MembershipTable::select(std::string_view dataCentre, Predicate isWanted) const
+{
+    std::vector<const MemberRecord *> members;
+    const auto ids = m_byDataCentre.find(dataCentre);
+    if (ids == m_byDataCentre.end()) {
+        return members;
+    }
+    for (const std::string &id : ids->second) {
+        const MemberRecord &record = m_entries.find(id)->second.record;
+        if (isWanted(record)) {
+            members.push_back(&record);
+        }
+    }
+    return members;
+}
+
+void MembershipTable::index(const MemberRecord &record)
+{
+    m_byDataCentre[record.dataCentre].insert(record.proxyId);
+    if (record.endpoint && memberStateInfo(record.state).isLive) {
+        m_byUpstream[record.endpoint->upstreamId] = record.proxyId;
+    }
+}
+
+void MembershipTable::unindex(const MemberRecord &record)
+{
+    const auto ids = m_byDataCentre.find(record.dataCentre);
+    ids->second.erase(record.proxyId);
+    if (ids->second.empty()) {
+        m_byDataCentre.erase(ids);
+    }
+    if (!record.endpoint) {
+        return;
+    }
+    const auto upstream = m_byUpstream.find(record.endpoint->upstreamId);
+    if (upstream != m_byUpstream.end() && upstream->second == record.proxyId) {
+        m_byUpstream.erase(upstream);
+    }
+}
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibMembership/MembershipTable.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibMembership/MemberChange.h>
+#include <LibMembership/MemberState.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Fuchsiastep {
+
+/// True where \a candidate replaces \a current: higher incarnation, then sequence, then state.
+bool supersedes(const MemberRecord &candidate, const MemberRecord &current);
+
+/// Every member that a proxy knows, itself included. Records of members that left or failed are kept for a while,
+/// so that an older record on its way does not bring them back.
+class MembershipTable
+{
+public:
+    static constexpr Duration DefaultTombstoneTime = std::chrono::minutes(10);
+
+    MembershipTable(const MemberRecord &self, const Clock &clock, Duration tombstoneTime = DefaultTombstoneTime);
+
+    const MemberRecord &self() const;
+
+    /// Stores \a record where it supersedes the one held, and reports that; nothing where it does not.
+    std::optional<MemberChange> merge(const MemberRecord &record);
+    /// Forgets the members that left or failed longer than the tombstone time ago.
+    void expireTombstones();
+
+    /// nullptr where the member is not known. The pointer is valid until the table changes.
+    const MemberRecord *find(std::string_view proxyId) const;
+    /// The proxy beside an upstream; nullptr where no live member has it.
+    const MemberRecord *findUpstream(std::string_view upstreamId) const;
+    /// Live members of a data centre by proxy id, this proxy included.
+    std::vector<const MemberRecord *> liveMembers(std::string_view dataCentre) const;
+    /// Live members of the own data centre without this proxy.
+    std::vector<const MemberRecord *> livePeers() const;
+    /// Members of the own data centre that failed and are still remembered.
+    std::vector<const MemberRecord *> failedPeers() const;
+    std::vector<std::string> dataCentres() const;
+    std::vector<MemberRecord> records() const;
+
+    /// Counts the changes of the table.
+    std::uint64_t revision() const
+    {
+        return m_revision;
+    }
+    /// Records of a data centre that changed after \a revision.
+    std::vector<MemberRecord> changedSince(std::string_view dataCentre, std::uint64_t revision) const;
+
+private:
+    struct Entry
+    {
+        MemberRecord record;
+        std::uint64_t revision = 0;
+        TimePoint changedAt;
+    };
+
+    void index(const MemberRecord &record);
+    void unindex(const MemberRecord &record);
+    template<typename Predicate>
+    std::vector<const MemberRecord *> select(std::string_view dataCentre, Predicate isWanted) const;
+
+    const Clock &m_clock;
+    Duration m_tombstoneTime;
+    std::string m_selfId;
+    std::uint64_t m_revision = 0;
+    std::map<std::string, Entry, std::less<>> m_entries;
+    std::map<std::string, std::set<std::string>, std::less<>> m_byDataCentre;
+    std::map<std::string, std::string, std::less<>> m_byUpstream;
+};
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibMembership/RendezvousHash.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <LibMembership/MembershipTable.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Fuchsiastep {
+
+/// Role of the members that poll the platform for changes.
+constexpr std::string_view ReaderRole = "reader";
+/// Role of the members that exchange records with other data centres.
+constexpr std::string_view BridgeRole = "bridge";
+/// Readers and bridges in each data centre.
+constexpr std::size_t RoleHolders = 3;
+
+/// The score of a member for a role. Equal on every proxy.
+std::uint64_t rendezvousScore(std::string_view role, std::string_view proxyId);
+
+/// The \a count members of a data centre with the highest scores for \a role, highest first. Members that serve or
+/// drain go before all others, so that a suspect or a joining member holds a role only where nobody else can.
+std::vector<const MemberRecord *> rendezvousMembers(
+    const MembershipTable &table, std::string_view dataCentre, std::string_view role, std::size_t count);
+
+/// True where the proxy of \a table is one of the RoleHolders of \a role in its data centre.
+bool holdsRole(const MembershipTable &table, std::string_view role, std::size_t count = RoleHolders);
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Tests/LibMembership/Cluster.h
@@ -0,0 +1,430 @@
+#pragma once
+
+#include <LibMembership/LibMembership.h>
+#include <LibWire/LibWire.h>
+#include <Support/SeededQueue.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <limits>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Fuchsiastep {
+
+constexpr TimePoint Never = TimePoint::max();
+
+/// The platform's table as the decision objects of these tests need it.
+struct FakePlatform
+{
+    std::map<std::string, std::string> rows;
+    std::vector<Configuration::Pointer> configurations {Configuration::empty()};
+    std::vector<ConfigurationDelta> deltas;
+    std::uint64_t headReads = 0;
+
+    ConfigurationVersion head() const
+    {
+        return deltas.size();
+    }
+    /// Accepts a change that declares \a count services.
+    void change(std::size_t count = 1, std::size_t labelBytes = 20)
+    {
+        std::vector<DeclaredObject> stored;
+        for (std::size_t i = 0; i < count; ++i) {
+            const std::string name = "service-" + std::to_string(head()) + "-" + std::to_string(i);
+            stored.emplace_back(ServiceDeclaration {name, {{"line", std::string(labelBytes, 'x')}}});
+        }
+        deltas.push_back(ConfigurationDelta::onTopOf(*configurations.back(), stored, {}));
+        configurations.push_back(valueOf(configurations.back()->tryApply(deltas.back())));
+    }
+    PlatformResponse answer(const PlatformRequest &request)
+    {
+        if (const auto *transaction = std::get_if<Transaction>(&request)) {
+            for (const RowWrite &write : transaction->writes) {
+                rows[write.key] = write.value.value_or("");
+            }
+            return Committed {1};
+        }
+        Rows found;
+        for (const auto &[key, value] : rows) {
+            found.rows.push_back({key, 1, value});
+        }
+        return found;
+    }
+};
+
+/// A few proxies' decision objects over one unreliable queue. Every message passes through its codec.
+class Cluster
+{
+public:
+    struct Proxy
+    {
+        Proxy(const MemberRecord &record, const Clock &clock, Random &random)
+            : table(record, clock)
+            , detector({}, table, clock, random)
+            , contacts({}, table, clock, random)
+            , remote({}, table, clock, random)
+            , distributor({}, table, holder, clock, random)
+            , gate({}, table, clock, random)
+        { }
+        MembershipTable table;
+        ConfigurationHolder holder;
+        FailureDetector detector;
+        ContactKeeper contacts;
+        RemoteSync remote;
+        Distributor distributor;
+        StartupGate gate;
+        TimePoint nextPoll;
+        bool isFrozen = false;
+    };
+    struct Node
+    {
+        std::string id;
+        std::string dataCentre;
+        std::unique_ptr<Proxy> proxy;
+        TimePoint due = Never;
+        std::size_t restarts = 0;
+        bool isPlatformCut = false;
+        ConfigurationVersion highestHeld = 0;
+        ConfigurationVersion heldBefore = 0;
+    };
+    struct Datagram
+    {
+        std::string content;
+    };
+    struct FrameBytes
+    {
+        std::string content;
+    };
+    struct Message
+    {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        std::variant<Datagram, FrameBytes, PlatformReply, HeadRead> content;
+    };
+    using Queue = SeededQueue<Message>;
+
+    explicit Cluster(std::uint64_t seedNumber, Queue::Faults faults = {})
+        : seed("seed " + std::to_string(seedNumber)), random(seedNumber), queue(clock, random, faults)
+    { }
+
+    void add(std::size_t count, const std::string &dataCentre = "toowoomba")
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            nodes.push_back({"proxy-" + std::to_string(nodes.size()), dataCentre});
+            start(nodes.size() - 1);
+        }
+    }
+    void start(std::size_t index)
+    {
+        Node &node = nodes[index];
+        const auto incarnation = static_cast<std::uint64_t>(clock.unixMilliseconds());
+        MemberRecord record {node.id, incarnation, 0, MemberState::Serving, addressOf(index), node.dataCentre, "qld-south"};
+        node.proxy = std::make_unique<Proxy>(record, clock, random);
+        node.proxy->nextPoll = clock.now() + random.jitter(std::chrono::milliseconds(500));
+        node.heldBefore = std::exchange(node.highestHeld, 0);
+        ++node.restarts;
+        step(index);
+    }
+    /// Tells every proxy of all others, as after a join long ago, and lets them hold \a configuration.
+    void introduceAll(const Configuration::Pointer &configuration = Configuration::empty())
+    {
+        MergeRecords records;
+        for (const Node &node : nodes) {
+            records.records.push_back(node.proxy->table.self());
+        }
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            drain(i, nodes[i].proxy->detector.handle(records));
+            if (configuration->version() > 0) {
+                drain(i, nodes[i].proxy->distributor.handle(ConfigurationFound {configuration}));
+            }
+            step(i);
+        }
+    }
+    void kill(std::size_t index)
+    {
+        nodes[index].proxy.reset();
+        nodes[index].due = Never;
+    }
+    void freeze(std::size_t index)
+    {
+        nodes[index].proxy->isFrozen = true;
+        nodes[index].due = Never;
+    }
+    void thaw(std::size_t index)
+    {
+        nodes[index].proxy->isFrozen = false;
+        step(index);
+    }
+    void leave(std::size_t index)
+    {
+        drain(index, nodes[index].proxy->detector.handle(LeaveRequested {}));
+        kill(index);
+    }
+
+    void run(Duration length)
+    {
+        const TimePoint limit = clock.now() + length;
+        while (true) {
+            std::size_t next = 0;
+            for (std::size_t i = 1; i < nodes.size(); ++i) {
+                next = nodes[i].due < nodes[next].due ? i : next;
+            }
+            const TimePoint due = nodes[next].due;
+            if (queue.nextDue().value_or(Never) <= std::min(due, limit)) {
+                deliver(*queue.next(limit));
+            } else if (due <= limit) {
+                clock.advance(std::max(due - clock.now(), Duration(0)));
+                step(next);
+            } else {
+                break;
+            }
+        }
+        clock.advance(limit - clock.now());
+    }
+    /// Runs until \a isDone, and fails with \a what where that takes longer than \a bound.
+    Duration runUntil(const std::function<bool()> &isDone, Duration bound, const std::string &what)
+    {
+        const TimePoint begin = clock.now();
+        while (!isDone()) {
+            CPPUNIT_ASSERT_MESSAGE(seed + ": " + what, clock.now() - begin < bound);
+            run(std::chrono::milliseconds(20));
+        }
+        return clock.now() - begin;
+    }
+
+    bool knowsAsLive(std::size_t observer, std::size_t subject) const
+    {
+        const MemberRecord *record = nodes[observer].proxy->table.find(nodes[subject].id);
+        return record != nullptr && memberStateInfo(record->state).isLive;
+    }
+    /// True where every running proxy knows exactly the running proxies as live.
+    bool agrees() const
+    {
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            for (std::size_t j = 0; nodes[i].proxy && j < nodes.size(); ++j) {
+                if (knowsAsLive(i, j) != (nodes[j].proxy != nullptr)) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+    bool allHold(ConfigurationVersion version) const
+    {
+        return std::all_of(nodes.begin(), nodes.end(), [&](const Node &node) {
+            return !node.proxy || node.proxy->holder.current()->version() == version;
+        });
+    }
+
+    static SocketAddress addressOf(std::size_t index)
+    {
+        return {"127.0.0.1", static_cast<std::uint16_t>(10000 + index)};
+    }
+
+    std::string seed;
+    Clock clock = Clock::manual();
+    Random random;
+    Queue queue;
+    FakePlatform platform;
+    std::vector<Node> nodes;
+    /// True where a message from one node does not arrive at another.
+    std::function<bool(std::size_t, std::size_t)> isCut = [](std::size_t, std::size_t) {
+        return false;
+    };
+    /// Removals of members that were running, and of members that were not.
+    std::size_t falseRemovals = 0;
+    std::size_t trueRemovals = 0;
+    std::size_t isolations = 0;
+    std::size_t mostSnapshots = 0;
+    /// Frames that distribute configurations: bytes, and the number that each node sent.
+    std::uint64_t distributionBytes = 0;
+    std::map<std::size_t, std::uint64_t> distributionFrames;
+
+private:
+    void step(std::size_t index)
+    {
+        Node &node = nodes[index];
+        Proxy *proxy = node.proxy.get();
+        drain(index, proxy->detector.advance());
+        drain(index, proxy->contacts.advance());
+        drain(index, proxy->remote.advance());
+        drain(index, proxy->distributor.advance());
+        drain(index, proxy->gate.advance());
+        poll(index);
+        settle(index);
+    }
+    void settle(std::size_t index)
+    {
+        Node &node = nodes[index];
+        const Proxy &proxy = *node.proxy;
+        node.due = std::min(*proxy.detector.nextDeadline(), *proxy.contacts.nextDeadline());
+        node.due = std::min({node.due, *proxy.remote.nextDeadline(), proxy.nextPoll});
+        node.due = std::min(node.due, proxy.distributor.nextDeadline().value_or(Never));
+        node.due = std::min(node.due, proxy.gate.nextDeadline().value_or(Never));
+        check(node);
+    }
+    /// I1, the snapshot limit, and no service below a version held by an earlier process, at every step.
+    void check(Node &node)
+    {
+        const ConfigurationVersion held = node.proxy->holder.current()->version();
+        CPPUNIT_ASSERT_MESSAGE(seed + ": " + node.id + " went back", held >= node.highestHeld);
+        node.highestHeld = held;
+        CPPUNIT_ASSERT_MESSAGE(seed + ": " + node.id + " serves an older version", !node.proxy->gate.isOpen() || held >= node.heldBefore);
+        mostSnapshots = std::max(mostSnapshots, node.proxy->distributor.snapshotsInProgress());
+        CPPUNIT_ASSERT_MESSAGE(seed + ": snapshots at once", node.proxy->distributor.snapshotsInProgress() <= 2);
+    }
+    /// Stands for the ConfigurationReader: readers poll the head every 500 ms.
+    void poll(std::size_t index)
+    {
+        Proxy &proxy = *nodes[index].proxy;
+        if (clock.now() < proxy.nextPoll) {
+            return;
+        }
+        proxy.nextPoll = clock.now() + std::chrono::milliseconds(500);
+        const bool isReadable = !nodes[index].isPlatformCut;
+        drain(index, proxy.distributor.handle(PlatformReadability {isReadable}));
+        if (!isReadable || !holdsRole(proxy.table, ReaderRole)) {
+            return;
+        }
+        ++platform.headReads;
+        const ConfigurationVersion held = proxy.holder.current()->version();
+        if (held == 0 && platform.head() > 0) {
+            drain(index, proxy.distributor.handle(ConfigurationFound {platform.configurations.back()}));
+        }
+        for (std::size_t i = held; held > 0 && i < platform.deltas.size(); ++i) {
+            drain(index, proxy.distributor.handle(ConfigurationFound {platform.deltas[i]}));
+        }
+    }
+
+    void deliver(const Message &message)
+    {
+        Node &node = nodes[message.to];
+        if (node.proxy == nullptr || isCut(message.from, message.to)) {
+            return;
+        }
+        if (node.proxy->isFrozen) {
+            queue.schedule(message, std::chrono::seconds(1));
+            return;
+        }
+        std::visit([&](const auto &content) { receive(message, content); }, message.content);
+        settle(message.to);
+    }
+    void receive(const Message &message, const Datagram &datagram)
+    {
+        const auto probe = tryDecodeProbe(datagram.content);
+        CPPUNIT_ASSERT_MESSAGE(seed + ": probe", !isError(probe));
+        drain(message.to, nodes[message.to].proxy->detector.handle(ReceivedProbe {addressOf(message.from), valueOf(probe)}));
+    }
+    void receive(const Message &message, const FrameBytes &bytes)
+    {
+        const auto frame = tryDecodeFrame(std::string_view(bytes.content).substr(FrameHeaderBytes));
+        CPPUNIT_ASSERT_MESSAGE(seed + ": frame", !isError(frame));
+        Proxy &proxy = *nodes[message.to].proxy;
+        const PeerFrame input {nodes[message.from].id, valueOf(frame)};
+        drain(message.to, proxy.contacts.handle(input));
+        drain(message.to, proxy.remote.handle(input));
+        drain(message.to, proxy.distributor.handle(input));
+        drain(message.to, proxy.gate.handle(input));
+    }
+    void receive(const Message &message, const PlatformReply &reply)
+    {
+        drain(message.to, nodes[message.to].proxy->contacts.handle(reply));
+    }
+    void receive(const Message &message, const HeadRead &head)
+    {
+        drain(message.to, nodes[message.to].proxy->gate.handle(head));
+    }
+
+    template<typename Outputs>
+    void drain(std::size_t index, const Outputs &outputs)
+    {
+        for (const auto &output : outputs) {
+            std::visit([&](const auto &content) { put(index, content); }, output);
+        }
+    }
+    void put(std::size_t index, const SendProbe &probe)
+    {
+        std::string bytes = encodeProbe(probe.datagram);
+        CPPUNIT_ASSERT_MESSAGE(seed + ": datagram too long", bytes.size() <= MaximumDatagramBytes);
+        queue.send({index, probe.receiver.port - 10000U, Datagram {std::move(bytes)}});
+    }
+    void put(std::size_t index, const SendFrame &frame)
+    {
+        sendFrame(index, indexOf(frame.peer), frame.frame);
+    }
+    void put(std::size_t index, const SendFrameToAddress &frame)
+    {
+        sendFrame(index, frame.address.port - 10000U, frame.frame);
+    }
+    void sendFrame(std::size_t from, std::size_t to, const Frame &frame)
+    {
+        std::string bytes = encodeFrame(frame);
+        if (!std::holds_alternative<MembershipSyncFrame>(frame)) {
+            distributionBytes += bytes.size();
+            ++distributionFrames[from];
+        }
+        // The parts of a snapshot travel on one connection, which loses the rest of them or none but never their order.
+        if (std::holds_alternative<ConfigurationSnapshotFrame>(frame)) {
+            queue.schedule({from, to, FrameBytes {std::move(bytes)}}, std::chrono::milliseconds(5));
+        } else {
+            queue.send({from, to, FrameBytes {std::move(bytes)}});
+        }
+    }
+    void put(std::size_t index, const PlatformCall &call)
+    {
+        const bool isCutOff = nodes[index].isPlatformCut;
+        const PlatformResponse response = isCutOff ? PlatformFailure {ErrorCode::PlatformUnavailable} : platform.answer(call.request);
+        queue.schedule({index, index, PlatformReply {call.id, response}}, std::chrono::milliseconds(5));
+    }
+    void put(std::size_t index, const ReadHead &)
+    {
+        const bool isCutOff = nodes[index].isPlatformCut;
+        queue.schedule({index, index, HeadRead {isCutOff ? std::nullopt : std::optional(platform.head())}}, std::chrono::milliseconds(5));
+    }
+    void put(std::size_t index, const MergeRecords &records)
+    {
+        drain(index, nodes[index].proxy->detector.handle(records));
+    }
+    void put(std::size_t index, const MemberChange &change)
+    {
+        if (change.after.state == MemberState::Failed && change.before && change.before->state != MemberState::Failed) {
+            const Node &subject = nodes[indexOf(change.after.proxyId)];
+            const bool isRunning = subject.proxy && !subject.proxy->isFrozen;
+            ++(isRunning ? falseRemovals : trueRemovals);
+        }
+        drain(index, nodes[index].proxy->distributor.handle(change));
+    }
+    void put(std::size_t index, const PeerVersion &version)
+    {
+        drain(index, nodes[index].proxy->distributor.handle(version));
+    }
+    void put(std::size_t index, const ConfigurationAdopted &adopted)
+    {
+        const VersionStamp held {adopted.configuration->version(), adopted.configuration->digest()};
+        drain(index, nodes[index].proxy->detector.handle(HeldVersionChanged {held}));
+        drain(index, nodes[index].proxy->gate.handle(HeldVersion {held.version}));
+    }
+    void put(std::size_t, const IsolationSuspected &)
+    {
+        ++isolations;
+    }
+    void put(std::size_t index, const FreezeDetected &)
+    {
+        drain(index, nodes[index].proxy->gate.handle(ProcessResumed {}));
+    }
+    template<typename Report>
+    void put(std::size_t, const Report &)
+    { }
+
+    std::size_t indexOf(const std::string &id) const
+    {
+        return std::stoul(id.substr(std::string("proxy-").size()));
+    }
+};
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Tests/LibMembership/TestMemberData.cpp
@@ -0,0 +1,278 @@
+#include <LibMembership/LibMembership.h>
+#include <LibMembership/RingRange.h>
+#include <LibWire/LibWire.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace Fuchsiastep {
+
+/// Codecs, the table, the hashes and the gossip queue against naive versions.
+class TestMemberData : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestMemberData);
+    CPPUNIT_TEST(testCodecsRoundTrip);
+    CPPUNIT_TEST(testDamagedBytesAreRefused);
+    CPPUNIT_TEST(testTableAgreesWithNaive);
+    CPPUNIT_TEST(testTombstonesExpire);
+    CPPUNIT_TEST(testRendezvousAgreesWithNaive);
+    CPPUNIT_TEST(testRangesCoverTheRing);
+    CPPUNIT_TEST(testGossipIsBounded);
+    CPPUNIT_TEST(testCrashSuspectsAreBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::uint64_t Histories = 2000;
+
+    static MemberRecord randomRecord(Random &random, std::size_t members = 6)
+    {
+        MemberRecord record;
+        record.proxyId = "proxy-" + std::to_string(random.below(members));
+        record.incarnation = random.below(3);
+        record.sequence = random.below(3);
+        record.state = static_cast<MemberState>(random.below(memberStateTable().size()));
+        record.address = {"127.0.0.1", static_cast<std::uint16_t>(random.below(65536))};
+        record.dataCentre = random.chance(0.7) ? "kent-yard" : "mallow";
+        record.region = "munster";
+        if (random.chance(0.5)) {
+            Endpoint endpoint;
+            endpoint.upstreamId = "upstream-" + record.proxyId;
+            endpoint.service = "stock-desk";
+            endpoint.incarnation = record.incarnation - random.below(record.incarnation + 1);
+            endpoint.labels = {{"yard", std::to_string(random.below(9))}};
+            endpoint.slots = static_cast<std::uint32_t>(random.below(20));
+            endpoint.isDraining = random.chance(0.5);
+            record.endpoint = endpoint;
+            completeEndpoint(record);
+        }
+        return record;
+    }
+    static ProbeCargo randomCargo(Random &random)
+    {
+        ProbeCargo cargo {"proxy-9", {random.next(), Digest::of(std::to_string(random.next()))}};
+        for (std::size_t i = 0; i < random.below(4); ++i) {
+            cargo.updates.push_back({randomRecord(random), random.chance(0.5) ? "proxy-3" : ""});
+        }
+        cargo.crashSuspects.push_back({random.next(), 3, 1790000000000, random.chance(0.5)});
+        return cargo;
+    }
+    static ProbeDatagram randomProbe(Random &random)
+    {
+        switch (random.below(3)) {
+        case 0:
+            return Ping {randomCargo(random), random.next(), "proxy-1"};
+        case 1:
+            return PingRequest {randomCargo(random), random.next(), "proxy-1", {"127.0.0.2", 65535}};
+        default:
+            return Ack {randomCargo(random), random.next(), "proxy-1"};
+        }
+    }
+
+    // Guards against fields that the compact encoding loses.
+    void testCodecsRoundTrip()
+    {
+        for (std::uint64_t seed = 1; seed <= Histories; ++seed) {
+            Random random(seed);
+            const std::string label = "seed " + std::to_string(seed);
+            const ProbeDatagram probe = randomProbe(random);
+            CPPUNIT_ASSERT_MESSAGE(label, valueOf(tryDecodeProbe(encodeProbe(probe))) == probe);
+            MemberSync sync {MemberSyncKind::Exchange, {}};
+            for (std::size_t i = 0; i < 20; ++i) {
+                sync.records.push_back(randomRecord(random));
+            }
+            std::vector<MemberRecord> joined;
+            for (const std::string &part : encodeMemberSync(sync, 500)) {
+                CPPUNIT_ASSERT_MESSAGE(label, part.size() <= 500);
+                const MemberSync content = valueOf(tryDecodeMemberSync(part));
+                joined.insert(joined.end(), content.records.begin(), content.records.end());
+            }
+            CPPUNIT_ASSERT_MESSAGE(label, joined == sync.records);
+        }
+    }
+
+    // Guards against a crash or an allocation without bound on bytes from a faulty sender.
+    void testDamagedBytesAreRefused()
+    {
+        for (std::uint64_t seed = 1; seed <= Histories; ++seed) {
+            Random random(seed);
+            std::string bytes = encodeProbe(randomProbe(random));
+            for (std::size_t length = 0; length < bytes.size(); length += 7) {
+                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), isError(tryDecodeProbe(bytes.substr(0, length))));
+            }
+            bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
+            (void)tryDecodeProbe(bytes);
+            (void)tryDecodeMemberSync(bytes);
+        }
+        CPPUNIT_ASSERT(isError(tryDecodeProbe(std::string(MaximumDatagramBytes + 1, '\x90'))));
+        CPPUNIT_ASSERT(isError(tryDecodeMemberSync("\x92\x02\xdd\xff\xff\xff\xff")));
+    }
+
+    // The naive table keeps every record and looks for the newest each time.
+    void testTableAgreesWithNaive()
+    {
+        const auto order = [](const MemberRecord &record) {
+            return std::tie(record.incarnation, record.sequence, record.state);
+        };
+        for (std::uint64_t seed = 1; seed <= Histories; ++seed) {
+            Random random(seed);
+            const std::string label = "seed " + std::to_string(seed);
+            Clock clock = Clock::manual();
+            MemberRecord self = randomRecord(random);
+            self.proxyId = "self";
+            self.dataCentre = "kent-yard";
+            self.endpoint.reset();
+            MembershipTable table(self, clock);
+            std::map<std::string, std::vector<MemberRecord>> history {{"self", {self}}};
+            for (int step = 0; step < 30; ++step) {
+                const MemberRecord record = randomRecord(random);
+                auto &earlier = history[record.proxyId];
+                const bool isNewest =
+                    std::all_of(earlier.begin(), earlier.end(), [&](const MemberRecord &other) { return order(record) > order(other); });
+                earlier.push_back(record);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(label, isNewest, table.merge(record).has_value());
+                std::set<std::string> live;
+                for (const auto &[id, records] : history) {
+                    const auto newest = std::max_element(
+                        records.begin(), records.end(), [&](const auto &left, const auto &right) { return order(left) < order(right); });
+                    CPPUNIT_ASSERT_MESSAGE(label, *table.find(id) == *newest);
+                    if (newest->state < MemberState::Left && newest->dataCentre == "kent-yard") {
+                        live.insert(id);
+                    }
+                    const MemberRecord *byUpstream = table.findUpstream("upstream-" + id);
+                    const bool isUpstream = newest->endpoint && newest->state < MemberState::Left && id != "self";
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(label, isUpstream, byUpstream != nullptr);
+                }
+                std::set<std::string> found;
+                for (const MemberRecord *member : table.liveMembers("kent-yard")) {
+                    found.insert(member->proxyId);
+                }
+                CPPUNIT_ASSERT_MESSAGE(label, found == live);
+            }
+        }
+    }
+
+    // Guards against a table that grows with every member that ever was, and against tombstones that go too early.
+    void testTombstonesExpire()
+    {
+        Clock clock = Clock::manual();
+        MemberRecord self;
+        self.proxyId = "self";
+        MembershipTable table(self, clock, std::chrono::minutes(10));
+        MemberRecord left;
+        left.proxyId = "gone";
+        left.state = MemberState::Left;
+        table.merge(left);
+        clock.advance(std::chrono::minutes(9));
+        table.expireTombstones();
+        MemberRecord stale = left;
+        stale.state = MemberState::Serving;
+        CPPUNIT_ASSERT(!table.merge(stale));
+        clock.advance(std::chrono::minutes(2));
+        table.expireTombstones();
+        CPPUNIT_ASSERT(table.find("gone") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, table.records().size());
+    }
+
+    void testRendezvousAgreesWithNaive()
+    {
+        for (std::uint64_t seed = 1; seed <= Histories; ++seed) {
+            Random random(seed);
+            Clock clock = Clock::manual();
+            MembershipTable table(randomRecord(random), clock);
+            for (int i = 0; i < 20; ++i) {
+                table.merge(randomRecord(random, 20));
+            }
+            const std::string role = "role-" + std::to_string(seed);
+            std::vector<const MemberRecord *> naive = table.liveMembers("kent-yard");
+            std::sort(naive.begin(), naive.end(), [&](const MemberRecord *left, const MemberRecord *right) {
+                const auto key = [&](const MemberRecord *record) {
+                    const bool mayHold = record->state == MemberState::Serving || record->state == MemberState::Draining;
+                    return std::pair(mayHold, rendezvousScore(role, record->proxyId));
+                };
+                return key(left) > key(right);
+            });
+            naive.resize(std::min<std::size_t>(naive.size(), 3));
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), naive == rendezvousMembers(table, "kent-yard", role, 3));
+        }
+    }
+
+    // Guards against a member that is in no range, or in two.
+    void testRangesCoverTheRing()
+    {
+        for (std::uint64_t seed = 1; seed <= Histories; ++seed) {
+            Random random(seed);
+            Clock clock = Clock::manual();
+            MembershipTable table(randomRecord(random), clock);
+            for (int i = 0; i < 40; ++i) {
+                table.merge(randomRecord(random, 40));
+            }
+            const std::uint64_t first = random.next();
+            const std::uint64_t second = random.next();
+            const RingRange range {std::min(first, second), std::max(first, second)};
+            const auto parts = splitRange(table, range, 8);
+            const std::string label = "seed " + std::to_string(seed);
+            const std::uint64_t own = ringPosition(table.self().proxyId);
+            const auto partsWith = [&](std::uint64_t position) {
+                return std::count_if(parts.begin(), parts.end(), [&](const RingRange &part) { return part.contains(position); });
+            };
+            CPPUNIT_ASSERT_MESSAGE(label, parts.size() <= 8 && partsWith(own) == 0);
+            for (const RingRange &part : parts) {
+                CPPUNIT_ASSERT_MESSAGE(label, !peersInRange(table, part).empty());
+            }
+            // Positions of unknown members, on sides of the own position where peers are known.
+            for (int i = 0; i < 20; ++i) {
+                const std::uint64_t position = random.next();
+                const bool isCut = range.contains(own);
+                const RingRange side = !isCut ? range : position < own ? RingRange {range.begin, own - 1} : RingRange {own + 1, range.end};
+                const bool isCovered = range.contains(position) && position != own && !peersInRange(table, side).empty();
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(label, isCovered ? 1L : 0L, static_cast<long>(partsWith(position)));
+            }
+        }
+    }
+
+    // Guards against news that circulates for ever, and against old news that goes before new.
+    void testGossipIsBounded()
+    {
+        CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(std::ceil(3 * std::log2(15.0))), gossipTransmissions(14, 3));
+        GossipQueue queue;
+        Random random(1);
+        MemberRecord older = randomRecord(random);
+        older.proxyId = "older";
+        MemberRecord newer = older;
+        newer.proxyId = "newer";
+        queue.push(MemberUpdate {older, {}}, 3);
+        queue.push(MemberUpdate {newer, {}}, 3);
+        for (int round = 0; round < 3; ++round) {
+            ProbeCargo one;
+            queue.fill(one, encodedSize(MemberUpdate {newer, {}}));
+            CPPUNIT_ASSERT_EQUAL(std::string("newer"), one.updates.at(0).record.proxyId);
+            CPPUNIT_ASSERT_EQUAL(std::size_t {1}, one.updates.size());
+        }
+        for (int round = 0; round < 3; ++round) {
+            ProbeCargo rest;
+            queue.fill(rest, MaximumDatagramBytes);
+            CPPUNIT_ASSERT_EQUAL(std::string("older"), rest.updates.at(0).record.proxyId);
+        }
+        CPPUNIT_ASSERT(queue.isEmpty());
+    }
+
+    // Guards against fingerprints without bound, and against an old entry that pushes out a new one.
+    void testCrashSuspectsAreBounded()
+    {
+        CrashSuspectSet set;
+        for (std::uint64_t i = 0; i < 2 * CrashSuspectSet::MaximumEntries; ++i) {
+            CPPUNIT_ASSERT(set.merge({i, 1, static_cast<std::int64_t>(1000 + i), false}));
+            CPPUNIT_ASSERT(set.size() <= CrashSuspectSet::MaximumEntries);
+        }
+        CPPUNIT_ASSERT(!set.merge({0, 9, 5, true}));
+        CPPUNIT_ASSERT(set.merge({400, 2, 1, true}));
+        CPPUNIT_ASSERT(*set.find(400) == (CrashSuspectEntry {400, 2, 1400, true}));
+        CPPUNIT_ASSERT(!set.merge({400, 1, 7, false}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestMemberData);
+
+} // namespace Fuchsiastep
