--- a/Libraries/LibMembership/DistributorMessages.h
+++ b/Libraries/LibMembership/DistributorMessages.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <LibConfiguration/ConfigurationDelta.h>
-#include <LibConfiguration/ConfigurationReaderMessages.h>
 #include <LibCore/Error.h>
 #include <LibMembership/MemberChange.h>
 #include <LibMembership/PeerFrame.h>
@@ -13,6 +12,12 @@
 
 namespace Fuchsiastep {
 
+/// The reader found a new version in the platform.
+struct ConfigurationFound
+{
+    std::variant<ConfigurationDelta, Configuration::Pointer> content;
+};
+
 /// Whether this proxy can read the platform. While it cannot, a reader asks the readers of other data centres.
 struct PlatformReadability
 {
