--- a/Libraries/LibMembership/Distributor.cpp
+++ b/Libraries/LibMembership/Distributor.cpp
@@ -211,7 +211,7 @@
     }
     // Readers that find a version at the same moment would each distribute it. The order is equal on every proxy, so
     // that exactly one of them goes on.
-    if (rendezvousScore(ReaderRole, peer) > rendezvousScore(ReaderRole, m_table.self().proxyId)) {
+    if (rendezvousScore(ReaderRoleName, peer) > rendezvousScore(ReaderRoleName, m_table.self().proxyId)) {
         m_holdStep.reset();
     }
 }
@@ -329,7 +329,7 @@
 
 void Distributor::pullFromOtherDataCentre()
 {
-    if (!holdsRole(m_table, ReaderRole)) {
+    if (!holdsRole(m_table, ReaderRoleName)) {
         return;
     }
     std::vector<std::string> readers;
@@ -337,7 +337,7 @@
         if (dataCentre == m_table.self().dataCentre) {
             continue;
         }
-        for (const MemberRecord *reader : rendezvousMembers(m_table, dataCentre, ReaderRole, RoleHolders)) {
+        for (const MemberRecord *reader : rendezvousMembers(m_table, dataCentre, ReaderRoleName, RoleHolders)) {
             readers.push_back(reader->proxyId);
         }
     }
--- a/Libraries/LibMembership/DistributorMessages.h
+++ b/Libraries/LibMembership/DistributorMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibConfiguration/ConfigurationReaderMessages.h>
 #include <LibConfiguration/ConfigurationDelta.h>
 #include <LibCore/Error.h>
 #include <LibMembership/MemberChange.h>
@@ -12,12 +13,6 @@
 
 namespace Fuchsiastep {
 
-/// The reader found a new version in the platform.
-struct ConfigurationFound
-{
-    std::variant<ConfigurationDelta, Configuration::Pointer> content;
-};
-
 /// Whether this proxy can read the platform. While it cannot, a reader asks the readers of other data centres.
 struct PlatformReadability
 {
--- a/Libraries/LibMembership/HoldStep.cpp
+++ b/Libraries/LibMembership/HoldStep.cpp
@@ -29,7 +29,7 @@
     m_nextAsk = now + m_settings.ackTimeout;
     std::size_t missing = wantedHolders() - std::min(wantedHolders(), m_holders.size());
     const MemberRecord &self = m_table.self();
-    const auto members = rendezvousMembers(m_table, self.dataCentre, ReaderRole, m_asked.size() + missing + 1);
+    const auto members = rendezvousMembers(m_table, self.dataCentre, ReaderRoleName, m_asked.size() + missing + 1);
     const auto ask = [&](const MemberRecord &member) {
         if (missing == 0 || member.proxyId == self.proxyId || m_holders.contains(member.proxyId)) {
             return;
--- a/Libraries/LibMembership/MemberRecordCodec.cpp
+++ b/Libraries/LibMembership/MemberRecordCodec.cpp
@@ -8,7 +8,7 @@
 
 namespace Fuchsiastep {
 
-static constexpr std::size_t RecordFields = 9;
+static constexpr std::size_t RecordFields = 11;
 static constexpr std::size_t EndpointFields = 7;
 /// Bytes of a MembershipSync content beside its records.
 static constexpr std::size_t SyncOverheadBytes = 16;
@@ -59,6 +59,9 @@
     writer.putEnumerator(record.state);
     writer.put(std::string_view(record.address.ip));
     writer.put(std::uint64_t {record.address.port});
+    // The two addresses have the same IP number nearly always.
+    writer.put(std::string_view(record.controlAddress.ip == record.address.ip ? std::string_view() : record.controlAddress.ip));
+    writer.put(std::uint64_t {record.controlAddress.port});
     writer.put(std::string_view(record.dataCentre));
     writer.put(std::string_view(record.region));
     writeEndpoint(writer, record);
@@ -74,6 +77,11 @@
         record.state = fields.takeEnumerator(MemberState::Failed);
         record.address.ip = fields.takeString();
         record.address.port = static_cast<std::uint16_t>(fields.takeUnsigned(std::numeric_limits<std::uint16_t>::max()));
+        record.controlAddress.ip = fields.takeString();
+        record.controlAddress.port = static_cast<std::uint16_t>(fields.takeUnsigned(std::numeric_limits<std::uint16_t>::max()));
+        if (record.controlAddress.ip.empty() && record.controlAddress.port != 0) {
+            record.controlAddress.ip = record.address.ip;
+        }
         record.dataCentre = fields.takeString();
         record.region = fields.takeString();
         takeEndpoint(fields, record);
--- a/Libraries/LibMembership/RemoteSync.cpp
+++ b/Libraries/LibMembership/RemoteSync.cpp
@@ -29,7 +29,7 @@
         return {};
     }
     m_nextExchange = m_clock.now() + m_settings.exchangePeriod;
-    if (!holdsRole(m_table, BridgeRole)) {
+    if (!holdsRole(m_table, BridgeRoleName)) {
         m_links.clear();
         return {};
     }
@@ -130,7 +130,7 @@
     }
     link.peer.clear();
     link.confirmedRevision = 0;
-    const auto bridges = rendezvousMembers(m_table, dataCentre, BridgeRole, RoleHolders);
+    const auto bridges = rendezvousMembers(m_table, dataCentre, BridgeRoleName, RoleHolders);
     if (!bridges.empty()) {
         link.peer = bridges[m_random.below(bridges.size())]->proxyId;
     }
--- a/Libraries/LibMembership/RendezvousHash.h
+++ b/Libraries/LibMembership/RendezvousHash.h
@@ -11,9 +11,9 @@
 namespace Fuchsiastep {
 
 /// Role of the members that poll the platform for changes.
-constexpr std::string_view ReaderRole = "reader";
+constexpr std::string_view ReaderRoleName = "reader";
 /// Role of the members that exchange records with other data centres.
-constexpr std::string_view BridgeRole = "bridge";
+constexpr std::string_view BridgeRoleName = "bridge";
 /// Readers and bridges in each data centre.
 constexpr std::size_t RoleHolders = 3;
 
--- a/Libraries/LibMembership/StartupGate.cpp
+++ b/Libraries/LibMembership/StartupGate.cpp
@@ -106,7 +106,7 @@
 {
     const MemberRecord &self = m_table.self();
     // The list is read again with each question, because a joining proxy may learn of its peers after the first.
-    for (const MemberRecord *reader : rendezvousMembers(m_table, self.dataCentre, ReaderRole, m_settings.readersAsked + 1)) {
+    for (const MemberRecord *reader : rendezvousMembers(m_table, self.dataCentre, ReaderRoleName, m_settings.readersAsked + 1)) {
         m_asked.insert(reader->proxyId);
     }
     auto others = m_table.livePeers();
--- a/Tests/LibMembership/Cluster.h
+++ b/Tests/LibMembership/Cluster.h
@@ -288,7 +288,7 @@
         proxy.nextPoll = clock.now() + std::chrono::milliseconds(500);
         const bool isReadable = !nodes[index].isPlatformCut;
         drain(index, proxy.distributor.handle(PlatformReadability {isReadable}));
-        if (!isReadable || !holdsRole(proxy.table, ReaderRole)) {
+        if (!isReadable || !holdsRole(proxy.table, ReaderRoleName)) {
             return;
         }
         ++platform.headReads;
--- a/Tests/LibMembership/TestDistribution.cpp
+++ b/Tests/LibMembership/TestDistribution.cpp
@@ -140,7 +140,7 @@
             Cluster cluster(seed, {.maximumDelay = milliseconds(20), .lossProbability = 0.05});
             prepare(cluster, 14);
             std::set<std::string> readers;
-            for (const MemberRecord *reader : rendezvousMembers(cluster.nodes[0].proxy->table, "toowoomba", ReaderRole, RoleHolders)) {
+            for (const MemberRecord *reader : rendezvousMembers(cluster.nodes[0].proxy->table, "toowoomba", ReaderRoleName, RoleHolders)) {
                 readers.insert(reader->proxyId);
             }
             const auto isReader = [&](std::size_t index) {
