--- a/Libraries/LibConfiguration/ChangeCommitter.cpp
+++ b/Libraries/LibConfiguration/ChangeCommitter.cpp
@@ -427,12 +427,16 @@
 void ChangeCommitter::resolveConflict(std::size_t changeIndex)
 {
     m_conflict = {m_change.changes[changeIndex].name, m_objects[changeIndex], 0};
+    const ConfigurationVersion expected = m_change.changes[changeIndex].expectedRevision.value_or(0);
+    if (m_conflict.current && m_conflict.current->version < expected && m_attempts < m_settings.maximumAttempts) {
+        return retry(staleRead("an object is older than the operator expected"));
+    }
     if (m_conflict.current) {
         call(ReadRows {{changeKey(m_conflict.current->version)}}, Step::ReadingWinner);
         return;
     }
     // No row tells who removed the object, but it was after the version that the operator expected.
-    m_conflict.searchedUntil = m_change.changes[changeIndex].expectedRevision.value_or(0);
+    m_conflict.searchedUntil = expected;
     searchRemoval();
 }
 
@@ -472,7 +476,11 @@
         return retry(staleRead("a change row is missing"));
     }
     if (m_conflict.searchedUntil >= m_head.version) {
-        // Every change is known and none removes the object, so the operator expected what never was.
+        // Every change is known and none removes the object: the object row was stale, or the operator expected
+        // what never was.
+        if (first <= m_head.version) {
+            return retry(staleRead("an object row is missing"));
+        }
         return refuseConflict({}, 0);
     }
     const auto expected = std::find_if(
--- a/Tests/Support/FakePlatform.h
+++ b/Tests/Support/FakePlatform.h
@@ -21,7 +21,7 @@
         double downProbability = 0;
         /// The call fails with PlatformOutcomeUnknown, after it took effect in half of the cases.
         double lostAnswerProbability = 0;
-        /// A read answers from an earlier state of the table.
+        /// A row that is read, or a scan, answers from an earlier state of the table, each independently.
         double staleReadProbability = 0;
     };
 
@@ -84,10 +84,9 @@
 
     PlatformResponse run(const ReadRows &read)
     {
-        const Table &table = stateToRead();
         Rows rows;
         for (const std::string &key : read.keys) {
-            rows.rows.push_back(rowOf(table, key));
+            rows.rows.push_back(rowOf(stateToRead(), key));
         }
         return rows;
     }
