--- a/Tests/LibProxy/TestProxySettings.cpp
+++ b/Tests/LibProxy/TestProxySettings.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(testEveryWrongFieldIsNamed);
     CPPUNIT_TEST(testAllErrorsAreReportedTogether);
     CPPUNIT_TEST(testUnreadableFile);
+    CPPUNIT_TEST(testExampleSettingsAreValid);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char *Listen = R"("listen":{"callers":"127.0.0.1:0","control":"127.0.0.1:0","peers":"127.0.0.1:0"})";
@@ -123,6 +124,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {3}, errors.size());
     }
 
+    // Guards against templates that no proxy starts with.
+    void testExampleSettingsAreValid()
+    {
+        for (const std::string deployment : {"whitcombe", "cork"}) {
+            std::vector<Error> errors;
+            const Result<ProxySettings> loaded =
+                ProxySettings::tryLoad(FUCHSIASTEP_SOURCE_DIR "/Base/" + deployment + "/settings/proxy.json", errors);
+            CPPUNIT_ASSERT_MESSAGE(errors.empty() ? "" : errors.front().detail, !isError(loaded));
+            CPPUNIT_ASSERT_EQUAL(std::uint16_t {0}, valueOf(loaded).listen.peers.port);
+        }
+    }
+
     // Guards against a proxy that starts with defaults where its file is missing or empty.
     void testUnreadableFile()
     {
--- a/Utilities/fuchsiactl/CommandLine.cpp
+++ b/Utilities/fuchsiactl/CommandLine.cpp
@@ -63,6 +63,18 @@
     return std::any_of(GlobalFlags.begin(), GlobalFlags.end(), isName) || std::any_of(VerbFlags.begin(), VerbFlags.end(), isName);
 }
 
+/// Gives the flags their defaults back, so that parsing is repeatable. absl::FlagSaver would write to standard error.
+void resetFlags()
+{
+    std::string ignored;
+    const auto reset = [&ignored](std::string_view name) {
+        absl::CommandLineFlag *flag = absl::FindCommandLineFlag(std::string(name));
+        flag->ParseFrom(flag->DefaultValue(), &ignored);
+    };
+    std::for_each(GlobalFlags.begin(), GlobalFlags.end(), reset);
+    std::for_each(VerbFlags.begin(), VerbFlags.end(), reset);
+}
+
 /// Reads the flag at \a index and moves \a index past its value. Abseil's own parser ends the program with status 1
 /// on a wrong flag, where this tool promises status 2.
 Result<Done> tryReadFlag(const std::vector<std::string> &words, std::size_t &index, SortedWords &sorted)
@@ -219,8 +231,7 @@
 
 Result<CommandLine> tryParseCommandLine(const std::vector<std::string> &words)
 {
-    // The flags get their defaults back, so that parsing is repeatable.
-    const absl::FlagSaver saver;
+    resetFlags();
     Result<SortedWords> sortedWords = trySortWords(words);
     if (isError(sortedWords)) {
         return errorOf(sortedWords);
--- a/Utilities/fuchsiactl/DeclarationFiles.h
+++ b/Utilities/fuchsiactl/DeclarationFiles.h
@@ -13,6 +13,9 @@
 /// wrong field by file, object and field. Objects have all their fields, defaults included.
 Result<ObjectSet> tryLoadObjectSet(const std::string &path, std::vector<Error> &errors);
 
+/// One error for each upstream and selector whose service is not among the objects.
+std::vector<Error> findDanglingReferences(const ObjectSet &objects);
+
 /// The objects in force with all their fields, so that they compare equal to declared ones.
 Result<ObjectsInForce> tryReadNormalizedObjectsInForce(ControlPoint &control);
 
