Free the descriptor of a caller's connection when the caller closes it

libsoup 3.2.3 reads the end of a kept connection and then keeps its descriptor: 50 connections that were served and closed left 50 open in a program of its own. HttpServer now watches the socket between requests and closes it. testClosedConnectionsAreFreed failed before and passes now. About 2 kB of memory of libsoup for each such connection stays allocated.

--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -7,6 +7,35 @@
 /// Marks a message whose body was larger than the limit.
 static constexpr const char *TooLargeMark = "fuchsiastep-too-large";
 
+/// The peer closed a readable socket, where it sent no more data.
+static bool isClosed(GSocket *socket)
+{
+    char byte = 0;
+    GInputVector vector {&byte, 1};
+    gint flags = G_SOCKET_MSG_PEEK;
+    GError *error = nullptr;
+    const gssize count = g_socket_receive_message(socket, nullptr, &vector, 1, nullptr, nullptr, &flags, nullptr, &error);
+    const bool isBroken = error != nullptr && !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+    g_clear_error(&error);
+    return count == 0 || isBroken;
+}
+
+/// Closes a connection that waits for its next request when the client closes it. libsoup 3.2 reads the end of such a
+/// connection and then keeps its descriptor open.
+static void closeWithClient(GSocket *socket)
+{
+    GSource *source = g_socket_create_source(socket, G_IO_IN, nullptr);
+    const GSocketSourceFunc onReadable = [](GSocket *readable, GIOCondition, gpointer) -> gboolean {
+        if (isClosed(readable)) {
+            g_socket_close(readable, nullptr);
+        }
+        return G_SOURCE_REMOVE;
+    };
+    g_source_set_callback(source, G_SOURCE_FUNC(onReadable), nullptr, nullptr);
+    g_source_attach(source, nullptr);
+    g_source_unref(source);
+}
+
 struct HttpServer::Exchange
 {
     HttpServer *server = nullptr;
@@ -52,19 +81,6 @@
             watch = nullptr;
         }
     }
-
-private:
-    static bool isClosed(GSocket *socket)
-    {
-        char byte = 0;
-        GInputVector vector {&byte, 1};
-        gint flags = G_SOCKET_MSG_PEEK;
-        GError *error = nullptr;
-        const gssize count = g_socket_receive_message(socket, nullptr, &vector, 1, nullptr, nullptr, &flags, nullptr, &error);
-        const bool isBroken = error != nullptr && !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
-        g_clear_error(&error);
-        return count == 0 || isBroken;
-    }
 };
 
 HttpServer::HttpServer(std::uint64_t maximumBodyBytes, EventHandler onEvent)
@@ -193,6 +209,10 @@
     }
     const std::unique_ptr<Exchange> exchange = std::move(found->second);
     m_exchanges.erase(found);
+    GSocket *socket = soup_server_message_get_socket(exchange->message);
+    if (socket != nullptr && !g_socket_is_closed(socket)) {
+        closeWithClient(socket);
+    }
     if (!exchange->isAnswered) {
         m_onEvent(HttpRequestAbandoned {token});
     }
--- a/Tests/LibProxy/TestHttpServer.cpp
+++ b/Tests/LibProxy/TestHttpServer.cpp
@@ -5,6 +5,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <filesystem>
+#include <iterator>
 #include <vector>
 
 namespace Fuchsiastep {
@@ -15,6 +17,7 @@
     CPPUNIT_TEST(testBodyLimit);
     CPPUNIT_TEST(testPathArrivesAsItWasSent);
     CPPUNIT_TEST(testAbandonedRequestIsReported);
+    CPPUNIT_TEST(testClosedConnectionsAreFreed);
     CPPUNIT_TEST(testPipelinedRequestIsServed);
     CPPUNIT_TEST(testMalformedHttpStopsNoOtherRequest);
     CPPUNIT_TEST(testAnswersGoToTheirOwnRequest);
@@ -149,6 +152,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {1}, m_abandoned.size());
     }
 
+    // Guards against descriptors that run out because callers give up, or close a connection after its answer.
+    void testClosedConnectionsAreFreed()
+    {
+        constexpr std::size_t Clients = 50;
+        const auto openDescriptors = [] {
+            const std::filesystem::directory_iterator descriptors("/proc/self/fd");
+            return static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
+        };
+        assertServes();
+        const std::size_t before = openDescriptors();
+        for (std::size_t index = 0; index < Clients; ++index) {
+            assertServes();
+            RawClient client(m_server->address());
+            client.send("GET /gone HTTP/1.1\r\nHost: x\r\n\r\n");
+            CPPUNIT_ASSERT(waitForRequests(2 * index + 3));
+        }
+        CPPUNIT_ASSERT(runUntil([this] { return m_abandoned.size() == Clients; }));
+        CPPUNIT_ASSERT(runUntil([&openDescriptors, before] { return openDescriptors() <= before; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, m_server->requestsOpen());
+    }
+
     // Guards against a second request on the connection that is taken for its end.
     void testPipelinedRequestIsServed()
     {
