Refuse a change whose object was written after the operator's base version

Cause: the HTTP API gives one base version for a change, but the committer compared an exact revision for each object, so that every second change of an object would have been a conflict. A resubmitted operation was not told apart from a first one, so a platform failure could be reported as certain. Change: ObjectChange::unchangedSince; a missing object is looked up in the changes since the base version. fuchsiactl adds repeated=1 when it submits again.

--- a/Libraries/LibConfiguration/ChangeCommitter.cpp
+++ b/Libraries/LibConfiguration/ChangeCommitter.cpp
@@ -149,6 +149,7 @@
 void ChangeCommitter::readState()
 {
     ++m_attempts;
+    m_notRemoved.clear();
     ReadRows request;
     request.keys = {std::string(HeadKey), operationKey(m_change.operationId)};
     for (const ObjectChange &change : m_change.changes) {
@@ -262,6 +263,12 @@
     return row.audit.operationId == m_change.operationId;
 }
 
+/// The version from which on changes of the object are conflicts.
+static ConfigurationVersion startOf(const ObjectChange &change)
+{
+    return change.expectedRevision.value_or(change.unchangedSince.value_or(0));
+}
+
 void ChangeCommitter::decide()
 {
     // The unknown transaction demanded the head before this version, which is now another operation's.
@@ -286,6 +293,12 @@
         if (expected && *expected != current) {
             return i;
         }
+        const auto since = m_change.changes[i].unchangedSince;
+        // A missing row does not tell when it was removed; the changes since then do.
+        const bool mayBeRemoved = since && !m_objects[i] && *since < m_head.version && !m_notRemoved.contains(i);
+        if ((since && current > *since) || mayBeRemoved) {
+            return i;
+        }
     }
     return std::nullopt;
 }
@@ -427,7 +440,7 @@
 void ChangeCommitter::resolveConflict(std::size_t changeIndex)
 {
     m_conflict = {m_change.changes[changeIndex].name, m_objects[changeIndex], 0};
-    const ConfigurationVersion expected = m_change.changes[changeIndex].expectedRevision.value_or(0);
+    const ConfigurationVersion expected = startOf(m_change.changes[changeIndex]);
     if (m_conflict.current && m_conflict.current->version < expected && m_attempts < m_settings.maximumAttempts) {
         return retry(staleRead("an object is older than the operator expected"));
     }
@@ -440,6 +453,18 @@
     searchRemoval();
 }
 
+bool ChangeCommitter::isConfirmedAsNotRemoved()
+{
+    for (std::size_t i = 0; i < m_change.changes.size(); ++i) {
+        const ObjectChange &change = m_change.changes[i];
+        if (change.name == m_conflict.name && !change.expectedRevision && change.unchangedSince) {
+            m_notRemoved.insert(i);
+            return true;
+        }
+    }
+    return false;
+}
+
 void ChangeCommitter::onWinnerRow(const Rows &rows)
 {
     const ConfigurationVersion version = m_conflict.current->version;
@@ -476,6 +501,9 @@
         return retry(staleRead("a change row is missing"));
     }
     if (m_conflict.searchedUntil >= m_head.version) {
+        if (isConfirmedAsNotRemoved()) {
+            return decide();
+        }
         // Every change is known and none removes the object: the object row was stale, or the operator expected
         // what never was.
         if (first <= m_head.version) {
@@ -485,7 +513,7 @@
     }
     const auto expected = std::find_if(
         m_change.changes.begin(), m_change.changes.end(), [&](const ObjectChange &change) { return change.name == m_conflict.name; });
-    if (m_conflict.searchedUntil - expected->expectedRevision.value_or(0) >= MaximumSearchReads * m_settings.rowsPerRead) {
+    if (m_conflict.searchedUntil - startOf(*expected) >= MaximumSearchReads * m_settings.rowsPerRead) {
         return refuseConflict({}, 0);
     }
     searchRemoval();
--- a/Libraries/LibConfiguration/ChangeCommitter.h
+++ b/Libraries/LibConfiguration/ChangeCommitter.h
@@ -10,6 +10,7 @@
 #include <LibCore/Random.h>
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,8 @@
     void resolveConflict(std::size_t changeIndex);
     void onWinnerRow(const Rows &rows);
     void searchRemoval();
+    /// No change since the operator's version removed the object of the conflict, so that there is none.
+    bool isConfirmedAsNotRemoved();
     void onRemovalRows(const Rows &rows);
 
     void call(PlatformRequest request, Step step);
@@ -107,6 +110,8 @@
     /// Set once the record of the operation was seen; from then on a refusal would be wrong.
     std::optional<ConfigurationVersion> m_acceptedVersion;
     ConflictFound m_conflict;
+    /// Changes whose missing object was not removed since the operator's version.
+    std::set<std::size_t> m_notRemoved;
     /// The version that a transaction of unknown outcome would have written.
     std::optional<ConfigurationVersion> m_unknownVersion;
 };
--- a/Libraries/LibConfiguration/OperatorChange.h
+++ b/Libraries/LibConfiguration/OperatorChange.h
@@ -17,6 +17,9 @@
     /// The version that last wrote the object as the operator knows it; 0 where it must not exist, nothing where
     /// any state will do.
     std::optional<ConfigurationVersion> expectedRevision;
+    /// The version of the configuration that the operator started from: a later write or removal of the object is a
+    /// conflict. Nothing where any state will do.
+    std::optional<ConfigurationVersion> unchangedSince;
 };
 
 /// What an operator asks for. All of it is accepted as one version, or none.
--- a/Libraries/LibMembership/DistributorMessages.h
+++ b/Libraries/LibMembership/DistributorMessages.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibConfiguration/ConfigurationReaderMessages.h>
 #include <LibConfiguration/ConfigurationDelta.h>
+#include <LibConfiguration/ConfigurationReaderMessages.h>
 #include <LibCore/Error.h>
 #include <LibMembership/MemberChange.h>
 #include <LibMembership/PeerFrame.h>
--- a/Libraries/LibProxy/ConfigurationTask.cpp
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -117,6 +117,7 @@
         submitted.reply(operatorFailure({ErrorCode::ConfigurationUnknown, m_settings.proxyId}));
         return;
     }
+    std::get<OperatorChange>(change).isRepeated = submitted.isRepeated;
     const std::uint64_t id = m_nextChangeId++;
     auto inProgress = std::make_unique<ChangeInProgress>(ChangeInProgress {
         ChangeCommitter({}, m_clock, m_random), valueOf(change).operationId, valueOf(change).operatorName, submitted.reply});
--- a/Libraries/LibProxy/OperatorChangeParser.cpp
+++ b/Libraries/LibProxy/OperatorChangeParser.cpp
@@ -56,7 +56,7 @@
             return errorOf(declarations);
         }
         for (const auto &[name, object] : valueOf(declarations).objects()) {
-            change.changes.push_back({name, object, baseVersion});
+            change.changes.push_back({name, object, std::nullopt, baseVersion});
         }
     }
     for (std::size_t i = 0; remove != nullptr && i < remove->size(); ++i) {
@@ -64,7 +64,7 @@
         if (isError(name)) {
             return errorOf(name);
         }
-        change.changes.push_back({valueOf(name), std::nullopt, baseVersion});
+        change.changes.push_back({valueOf(name), std::nullopt, std::nullopt, baseVersion});
     }
     return change;
 }
--- a/Libraries/LibProxy/OperatorMessages.h
+++ b/Libraries/LibProxy/OperatorMessages.h
@@ -24,6 +24,8 @@
 struct ChangeSubmitted
 {
     std::string body;
+    /// The operation was submitted before and its answer is not known.
+    bool isRepeated = false;
     OperatorReplyHandler reply;
 };
 
--- a/Libraries/LibProxy/OperatorTask.cpp
+++ b/Libraries/LibProxy/OperatorTask.cpp
@@ -11,6 +11,21 @@
 static constexpr Duration SilenceLimit = std::chrono::seconds(3);
 static constexpr std::uint32_t MaximumAuditEntries = 1000;
 
+static std::map<std::string, std::string> parseQuery(const std::string &query)
+{
+    std::map<std::string, std::string> fields;
+    GHashTable *decoded = soup_form_decode(query.c_str());
+    GHashTableIter iterator;
+    g_hash_table_iter_init(&iterator, decoded);
+    gpointer name = nullptr;
+    gpointer value = nullptr;
+    while (g_hash_table_iter_next(&iterator, &name, &value)) {
+        fields[static_cast<const char *>(name)] = static_cast<const char *>(value);
+    }
+    g_hash_table_unref(decoded);
+    return fields;
+}
+
 struct OperatorTask::Endpoint
 {
     std::string_view method;
@@ -126,22 +141,8 @@
 
 void OperatorTask::changes(const HttpRequest &request)
 {
-    m_onEvent(ChangeSubmitted {request.body, replyTo(request.token)});
-}
-
-static std::map<std::string, std::string> parseQuery(const std::string &query)
-{
-    std::map<std::string, std::string> fields;
-    GHashTable *decoded = soup_form_decode(query.c_str());
-    GHashTableIter iterator;
-    g_hash_table_iter_init(&iterator, decoded);
-    gpointer name = nullptr;
-    gpointer value = nullptr;
-    while (g_hash_table_iter_next(&iterator, &name, &value)) {
-        fields[static_cast<const char *>(name)] = static_cast<const char *>(value);
-    }
-    g_hash_table_unref(decoded);
-    return fields;
+    const bool isRepeated = parseQuery(request.query).contains("repeated");
+    m_onEvent(ChangeSubmitted {request.body, isRepeated, replyTo(request.token)});
 }
 
 /// Returns false where the field is there and not a number.
--- a/Tests/LibConfiguration/TestChangeCommitter.cpp
+++ b/Tests/LibConfiguration/TestChangeCommitter.cpp
@@ -236,6 +236,7 @@
     CPPUNIT_TEST(testLastWriterWinsBreaksTheSameChecks);
     CPPUNIT_TEST(testDifferentLabelsBothSucceed);
     CPPUNIT_TEST(testRemovalIsNamedToTheLoser);
+    CPPUNIT_TEST(testChangesAfterTheBaseVersionAreConflicts);
     CPPUNIT_TEST(testSameOperationTwiceIsOneChange);
     CPPUNIT_TEST(testRemovedServiceIsStillNamed);
     CPPUNIT_TEST(testInvalidChangesAreRefused);
@@ -336,6 +337,51 @@
         }
     }
 
+    // Guards against overwriting what somebody else did after the version that the operator started from (I9).
+    void testChangesAfterTheBaseVersionAreConflicts()
+    {
+        struct Case
+        {
+            std::string name;
+            std::vector<ObjectChange> others;
+            ObjectChange own;
+            ErrorCode expected;
+        };
+        const ObjectChange ownStore {Label, storeLabel("u1", "own", std::nullopt).value, std::nullopt, 2};
+        const ObjectChange ownRemoval {Label, std::nullopt, std::nullopt, 2};
+        const ObjectChange ownCreation {
+            nameOf(*storeLabel("u9", "own", std::nullopt).value), storeLabel("u9", "own", std::nullopt).value, std::nullopt, 2};
+        const std::vector<Case> cases {
+            {"nothing happened", {}, ownStore, ErrorCode::None},
+            {"another object was changed", {storeLabel("u2", "x", std::nullopt)}, ownStore, ErrorCode::None},
+            {"the object was changed", {storeLabel("u1", "x", std::nullopt)}, ownStore, ErrorCode::ChangeConflict},
+            {"the object was removed", {{Label, std::nullopt, std::nullopt}}, ownStore, ErrorCode::ChangeConflict},
+            {"the object was removed, and is to be", {{Label, std::nullopt, std::nullopt}}, ownRemoval, ErrorCode::ChangeConflict},
+            {"removal", {storeLabel("u2", "x", std::nullopt)}, ownRemoval, ErrorCode::None},
+            {"creation", {storeLabel("u2", "x", std::nullopt)}, ownCreation, ErrorCode::None},
+            {"somebody else created it", {storeLabel("u9", "x", std::nullopt)}, ownCreation, ErrorCode::ChangeConflict},
+        };
+        for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+            for (const Case &item : cases) {
+                CommitSimulation simulation(seed, NoFaults);
+                simulation.prepare({storeService("order-desk")});
+                simulation.prepare({storeLabel("u1", "old", 0)});
+                const Configuration::Pointer base = simulation.state();
+                for (std::size_t i = 0; i < item.others.size(); ++i) {
+                    simulation.submit("ann", "op-a" + std::to_string(i), {item.others[i]}, base);
+                    simulation.run();
+                }
+                const std::size_t last = simulation.operators.size();
+                simulation.submit("bob", "op-b", {item.own}, simulation.random.chance(0.5) ? base : simulation.state());
+                simulation.run();
+                const ChangeRefused *refused = simulation.refusal(last);
+                const ErrorCode code = refused != nullptr ? refused->error.code : ErrorCode::None;
+                CPPUNIT_ASSERT_MESSAGE(simulation.where() + ": " + item.name, code == item.expected);
+                CPPUNIT_ASSERT_MESSAGE(simulation.where() + ": " + item.name, refused == nullptr || refused->winner == "ann");
+            }
+        }
+    }
+
     // Guards against a second change when an accepted answer is lost and the operator submits again (I9).
     void testSameOperationTwiceIsOneChange()
     {
--- a/Utilities/fuchsiactl/ChangeRun.cpp
+++ b/Utilities/fuchsiactl/ChangeRun.cpp
@@ -30,7 +30,8 @@
             summary + "nothing was changed (--dry-run)\n", JsonValue::Object {{"dry_run", true}, {"change", change.toJson()}});
         return ExitCode::Success;
     }
-    const Result<AcceptedChange> accepted = context.control.trySubmit(change.operation, change.toJson().toText());
+    const Result<AcceptedChange> accepted =
+        context.control.trySubmit(change.operation, change.toJson().toText(), !context.options.operation.empty());
     if (isError(accepted)) {
         return errorOf(accepted);
     }
--- a/Utilities/fuchsiactl/ControlPoint.cpp
+++ b/Utilities/fuchsiactl/ControlPoint.cpp
@@ -68,17 +68,21 @@
     return tryReadAnswer(valueOf(answer));
 }
 
-Result<AcceptedChange> ControlPoint::trySubmit(const std::string &operation, const std::string &body)
+Result<AcceptedChange> ControlPoint::trySubmit(const std::string &operation, const std::string &body, bool wasSubmittedBefore)
 {
     ChangeSubmission submission(m_proxies.size(), operation);
     SubmissionStep step = ChangeSubmission::first();
+    // The proxy must know of an earlier submission, or it would take its own failure for the certain end of both.
+    bool isRepeated = wasSubmittedBefore;
     while (const auto *attempt = std::get_if<SubmissionAttempt>(&step)) {
         pause(attempt->pause);
         if (timeLeft() == Duration(0)) {
             return submission.giveUp();
         }
         const std::size_t index = (m_preferred + attempt->proxyIndex) % m_proxies.size();
-        step = submission.handle(m_client.trySend({m_proxies[index], "POST", "/v1/operator/changes", body}, answerTimeout()));
+        const std::string path = isRepeated ? "/v1/operator/changes?repeated=1" : "/v1/operator/changes";
+        step = submission.handle(m_client.trySend({m_proxies[index], "POST", path, body}, answerTimeout()));
+        isRepeated = true;
     }
     if (const auto *accepted = std::get_if<AcceptedChange>(&step)) {
         return *accepted;
--- a/Utilities/fuchsiactl/ControlPoint.h
+++ b/Utilities/fuchsiactl/ControlPoint.h
@@ -24,7 +24,7 @@
     /// Posts once to the first proxy of the list.
     Result<JsonValue> tryPost(const std::string &path, const std::string &body);
     /// Submits a change until its outcome is known. Fails also with ChangeOutcomeUnknown.
-    Result<AcceptedChange> trySubmit(const std::string &operation, const std::string &body);
+    Result<AcceptedChange> trySubmit(const std::string &operation, const std::string &body, bool wasSubmittedBefore);
     /// Reads \a path from many proxies with bounded concurrency; results are in the order of \a proxies.
     std::vector<Result<JsonValue>> readFromAll(const std::vector<SocketAddress> &proxies, const std::string &path);
 
