--- a/Tests/LibRequest/TestRequestCoordinator.cpp
+++ b/Tests/LibRequest/TestRequestCoordinator.cpp
@@ -137,6 +137,8 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.tries, fixture.sent.size());
             CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, std::size_t(1), fixture.told.size());
             CPPUNIT_ASSERT_MESSAGE(item.name, fixture.told[0].outcome == item.outcome && fixture.told[0].code == item.code);
+            const std::size_t cancels = item.code == ErrorCode::DeadlineExceeded ? 1 : 0;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, cancels, fixture.cancelled.size());
             std::set<std::string> upstreams;
             for (const SendRequest &sent : fixture.sent) {
                 CPPUNIT_ASSERT_MESSAGE(item.name, upstreams.insert(sent.frame.upstreamId).second);
