Close silent and endless connections, keep cookies apart, forget gone upstreams

Change: limits of 10 s for Hello, 16 MiB of ignored body and 120 s without input from an upstream; UpstreamGone; one merge rule for crash suspects in LibMembership.

--- a/Libraries/LibMembership/CrashSuspectSet.cpp
+++ b/Libraries/LibMembership/CrashSuspectSet.cpp
@@ -14,10 +14,7 @@
         m_entries.emplace(entry.fingerprint, entry);
         return true;
     }
-    CrashSuspectEntry joined = found->second;
-    joined.count = std::max(joined.count, entry.count);
-    joined.unixMilliseconds = std::max(joined.unixMilliseconds, entry.unixMilliseconds);
-    joined.isBlamed = joined.isBlamed || entry.isBlamed;
+    const CrashSuspectEntry joined = mergedCrashSuspect(found->second, entry);
     const bool isChanged = joined != found->second;
     found->second = joined;
     return isChanged;
--- a/Libraries/LibMembership/CrashSuspectSet.h
+++ b/Libraries/LibMembership/CrashSuspectSet.h
@@ -13,7 +13,7 @@
 public:
     static constexpr std::size_t MaximumEntries = 256;
 
-    /// Joins \a entry with the entry of the same fingerprint: the higher count, the later time, blamed if either is.
+    /// Merges \a entry with the entry of the same fingerprint; see mergedCrashSuspect().
     /// True where that changed the set, so that the entry is worth passing on.
     bool merge(const CrashSuspectEntry &entry);
     /// nullptr where the fingerprint is not in the set.
--- a/Libraries/LibProxy/ConfigurationTask.cpp
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -91,8 +91,32 @@
     run(m_distributor.handle(change));
 }
 
+void ConfigurationTask::countServices(const EndpointsChanged &change)
+{
+    const auto leave = [this](const std::shared_ptr<const Endpoint> &endpoint) {
+        const std::size_t remaining = --m_serviceSizes[endpoint->service];
+        m_onEvent(UpstreamGone {endpoint->service, endpoint->upstreamId, remaining});
+    };
+    for (const std::string &upstreamId : change.removedUpstreamIds) {
+        if (const auto known = m_view->endpoint(upstreamId)) {
+            leave(known);
+        }
+    }
+    for (const Endpoint &endpoint : change.stored) {
+        const auto known = m_view->endpoint(endpoint.upstreamId);
+        if (known && known->service == endpoint.service) {
+            continue;
+        }
+        if (known) {
+            leave(known);
+        }
+        ++m_serviceSizes[endpoint.service];
+    }
+}
+
 void ConfigurationTask::handle(const EndpointsChanged &change)
 {
+    countServices(change);
     changeView(m_view->withEndpoints(change.stored, change.removedUpstreamIds));
 }
 
--- a/Libraries/LibProxy/ConfigurationTask.h
+++ b/Libraries/LibProxy/ConfigurationTask.h
@@ -46,7 +46,7 @@
     VersionStamp held;
 };
 
-using ConfigurationTaskEvent = std::variant<ViewChanged, ReadinessChanged, VersionHeld>;
+using ConfigurationTaskEvent = std::variant<ViewChanged, UpstreamGone, ReadinessChanged, VersionHeld>;
 
 /// Keeps the view current: it owns the configuration in force, the reader of the platform, the distribution between
 /// proxies, the gate that keeps a new proxy from serving too early, and the operators' changes in progress.
@@ -90,6 +90,7 @@
     void run(std::vector<StartupGateOutput> outputs);
     void run(std::uint64_t changeId, std::vector<ChangeCommitterOutput> outputs);
 
+    void countServices(const EndpointsChanged &change);
     void adopt(const Configuration::Pointer &configuration);
     void changeView(View::Pointer view);
     void readHead();
@@ -113,6 +114,8 @@
 
     ConfigurationHolder m_holder;
     View::Pointer m_view = View::empty();
+    /// Live upstreams of each service.
+    std::map<std::string, std::size_t> m_serviceSizes;
     Distributor m_distributor;
     ConfigurationReader m_reader;
     StartupGate m_gate;
--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -4,6 +4,10 @@
 
 namespace Fuchsiastep {
 
+/// Bytes beyond the limit that are read and dropped, so that most clients see the answer that refuses their body.
+static constexpr std::uint64_t MaximumIgnoredBytes = 16 * 1024 * 1024;
+/// Counts the body bytes of a message that have arrived.
+static constexpr const char *ReceivedMark = "fuchsiastep-received";
 /// Marks a message whose body was larger than the limit.
 static constexpr const char *TooLargeMark = "fuchsiastep-too-large";
 
@@ -123,13 +127,22 @@
 void HttpServer::handleHeaders(SoupServer *, SoupServerMessage *message, const char *, GHashTable *, gpointer data)
 {
     // The body is counted while it arrives, so that neither a false length nor a chunked body fills the memory.
-    const auto onChunk = +[](SoupServerMessage *chunked, GBytes *, gpointer owner) {
+    const auto onChunk = +[](SoupServerMessage *chunked, GBytes *chunk, gpointer owner) {
         SoupMessageBody *body = soup_server_message_get_request_body(chunked);
         const std::uint64_t limit = static_cast<HttpServer *>(owner)->m_maximumBodyBytes;
-        if (static_cast<std::uint64_t>(body->length) > limit) {
+        const std::size_t received = GPOINTER_TO_SIZE(g_object_get_data(G_OBJECT(chunked), ReceivedMark)) + g_bytes_get_size(chunk);
+        g_object_set_data(G_OBJECT(chunked), ReceivedMark, GSIZE_TO_POINTER(received));
+        if (received > limit) {
             soup_message_body_set_accumulate(body, FALSE);
             g_object_set_data(G_OBJECT(chunked), TooLargeMark, chunked);
         }
+        // A client that sends on and on would never see the answer that refuses its body.
+        if (received > limit + MaximumIgnoredBytes) {
+            GSocket *socket = soup_server_message_get_socket(chunked);
+            if (socket != nullptr) {
+                g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+            }
+        }
     };
     g_signal_connect(message, "got-chunk", G_CALLBACK(onChunk), data);
 }
--- a/Libraries/LibProxy/PeerLinks.cpp
+++ b/Libraries/LibProxy/PeerLinks.cpp
@@ -4,6 +4,8 @@
 
 /// A peer that does not read must not fill the memory.
 static constexpr std::size_t MaximumQueuedBytes = 64 * 1024 * 1024;
+/// Time for a peer's Hello.
+static constexpr Duration HelloTime = std::chrono::seconds(10);
 static constexpr Duration IdleTime = std::chrono::seconds(120); // Twice the longest timeout of a request.
 
 struct PeerLinks::Link
@@ -236,7 +238,8 @@
 {
     std::vector<std::uint64_t> idle;
     for (const auto &[id, link] : m_links) {
-        if (link->isOutgoing && m_clock.now() - link->lastUsed > IdleTime) {
+        const Duration unused = m_clock.now() - link->lastUsed;
+        if ((link->isOutgoing && unused > IdleTime) || (!link->isEstablished && unused > HelloTime)) {
             idle.push_back(id);
         }
     }
--- a/Libraries/LibProxy/PeerLinks.h
+++ b/Libraries/LibProxy/PeerLinks.h
@@ -73,8 +73,14 @@
     /// Bytes that wait to be sent on the connection.
     std::size_t bytesQueuedOn(std::uint64_t connectionId) const;
     bool hasQueuedBytes() const;
-
-    /// Closes outgoing connections that were not used for two minutes. Called now and then by the owner.
+    /// Connections in both directions.
+    std::size_t connectionCount() const
+    {
+        return m_links.size();
+    }
+
+    /// Closes outgoing connections that were not used for two minutes, and those without a Hello after 10 s. Called now and then by the
+    /// owner.
     void closeIdle();
 
 private:
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -157,6 +157,7 @@
 {
     std::visit(Overloaded {
                    [this](const ViewChanged &change) { m_requests->post(change); },
+                   [this](const UpstreamGone &gone) { m_requests->post(gone); },
                    [this](const ReadinessChanged &change) {
                        m_isReady = change.isReady;
                        m_requests->post(change);
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -107,6 +107,11 @@
     m_view = change.view;
 }
 
+void RequestTask::handle(const UpstreamGone &gone)
+{
+    m_routing.forget(gone.service, gone.upstreamId, gone.remaining);
+}
+
 void RequestTask::handle(const ReadinessChanged &change)
 {
     m_isReady = change.isReady;
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -49,7 +49,17 @@
     CrashSuspectEntry entry;
 };
 
+/// An upstream has left its service.
+struct UpstreamGone
+{
+    std::string service;
+    std::string upstreamId;
+    /// Upstreams that the service still has.
+    std::size_t remaining = 0;
+};
+
 using RequestTaskMessage = std::variant<ViewChanged,
+    UpstreamGone,
     ReadinessChanged,
     PeerLinkEstablished,
     PeerFrameReceived,
@@ -100,6 +110,7 @@
     struct CallInProgress;
 
     void handle(const ViewChanged &change);
+    void handle(const UpstreamGone &gone);
     void handle(const ReadinessChanged &change);
     void handle(const PeerLinkEstablished &established);
     void handle(const PeerFrameReceived &received);
--- a/Libraries/LibProxy/SoupSupport.cpp
+++ b/Libraries/LibProxy/SoupSupport.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <sstream>
 
 namespace Fuchsiastep {
 
@@ -30,6 +31,10 @@
     return listening;
 }
 
+static constexpr std::string_view SetCookieName = "set-cookie";
+/// Cannot be part of a field value.
+static constexpr const char *SetCookieSeparator = "\n";
+
 static bool belongsToConnection(std::string_view name)
 {
     static constexpr std::array<std::string_view, 10> Names {"connection",
@@ -59,8 +64,10 @@
             continue;
         }
         std::string &field = fields[lower];
-        // Repeated fields are one field with a comma-separated list (RFC 9110, 5.3).
-        field += field.empty() ? value : std::string(", ") + value;
+        // Repeated fields are one field with a comma-separated list (RFC 9110, 5.3), but for Set-Cookie, whose
+        // values hold commas themselves.
+        const char *separator = lower == SetCookieName ? SetCookieSeparator : ", ";
+        field += field.empty() ? value : separator + std::string(value);
     }
     return fields;
 }
@@ -68,8 +75,16 @@
 void writeHeaders(SoupMessageHeaders *headers, const HeaderList &fields)
 {
     for (const auto &[name, value] : fields) {
-        if (!belongsToConnection(name)) {
+        if (belongsToConnection(name)) {
+            continue;
+        }
+        if (name != SetCookieName) {
             soup_message_headers_replace(headers, name.c_str(), value.c_str());
+            continue;
+        }
+        std::istringstream cookies(value);
+        for (std::string cookie; std::getline(cookies, cookie);) {
+            soup_message_headers_append(headers, name.c_str(), cookie.c_str());
         }
     }
 }
--- a/Libraries/LibProxy/UpstreamClient.cpp
+++ b/Libraries/LibProxy/UpstreamClient.cpp
@@ -5,6 +5,10 @@
 
 namespace Fuchsiastep {
 
+/// Without input or output for this long a call fails, so that an upstream that hangs gives its slot back. Twice the
+/// longest timeout of a selector, since a run that holds a key outlives its caller.
+static constexpr guint CallTimeLimitSeconds = 120;
+
 struct UpstreamClient::Exchange
 {
     UpstreamClient *client = nullptr;
@@ -51,7 +55,8 @@
     m_connections = connections;
     g_clear_object(&m_session);
     const int limit = static_cast<int>(std::max<std::uint32_t>(connections, 1));
-    m_session = soup_session_new_with_options("max-conns", limit, "max-conns-per-host", limit, "timeout", 0U, nullptr);
+    m_session = soup_session_new_with_options(
+        "max-conns", limit, "max-conns-per-host", limit, "timeout", CallTimeLimitSeconds, "proxy-resolver", nullptr, nullptr);
 }
 
 void UpstreamClient::start(std::uint64_t localId, const RequestFrame &request, Duration timeLeft)
--- a/Libraries/LibRouting/CrashSuspects.cpp
+++ b/Libraries/LibRouting/CrashSuspects.cpp
@@ -78,23 +78,12 @@
             store(entry.fingerprint, incoming);
             continue;
         }
-        const bool isAcquittal = incoming.crashCount == 0 || known->crashCount == 0;
-        Record merged = *known;
-        if (isAcquittal) {
-            // At the same time the crash wins, so that every order of merging ends alike.
-            const auto rank = [](const Record &record) {
-                return std::tuple(record.unixMilliseconds, record.crashCount);
-            };
-            merged = rank(incoming) > rank(*known) ? incoming : *known;
-        } else {
-            merged.crashCount = std::max(known->crashCount, incoming.crashCount);
-            merged.unixMilliseconds = std::max(known->unixMilliseconds, incoming.unixMilliseconds);
-            merged.isBlamed = known->isBlamed || incoming.isBlamed;
-        }
-        const bool isChanged = merged.crashCount != known->crashCount || merged.isBlamed != known->isBlamed
-            || merged.unixMilliseconds != known->unixMilliseconds;
-        if (isChanged) {
-            store(entry.fingerprint, merged);
+        const auto toEntry = [&](const Record &record) {
+            return CrashSuspectEntry {entry.fingerprint, record.crashCount, record.unixMilliseconds, record.isBlamed};
+        };
+        const CrashSuspectEntry merged = mergedCrashSuspect(toEntry(*known), toEntry(incoming));
+        if (merged != toEntry(*known)) {
+            store(entry.fingerprint, {merged.count, merged.unixMilliseconds, merged.isBlamed});
         }
     }
 }
--- a/Tests/LibProxy/TestPeerLinks.cpp
+++ b/Tests/LibProxy/TestPeerLinks.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(testConnectionThatNeverOpenedIsReported);
     CPPUNIT_TEST(testPeerAtAnotherAddress);
     CPPUNIT_TEST(testIdleConnectionsAreClosed);
+    CPPUNIT_TEST(testSilentConnectionIsClosed);
     CPPUNIT_TEST_SUITE_END();
 
     /// One proxy with its links.
@@ -26,7 +27,7 @@
                 std::visit(Overloaded {
                                [this](PeerFrameReceived &frame) { frames.push_back(std::move(frame)); },
                                [this](const PeerConnectionClosed &loss) { closed.push_back(loss); },
-                               [](const PeerLinkEstablished &) {},
+                               [this](const PeerLinkEstablished &) { ++established; },
                            },
                     event);
             })
@@ -38,6 +39,7 @@
         MetricsRegistry metrics;
         std::vector<PeerFrameReceived> frames;
         std::vector<PeerConnectionClosed> closed;
+        std::size_t established = 0;
         PeerLinks links;
     };
 
@@ -160,7 +162,7 @@
         Peer first("p-1");
         Peer second("p-2");
         first.links.sendTo("p-2", second.links.address(), VersionNudgeFrame {1});
-        CPPUNIT_ASSERT(runUntil([&second] { return second.frames.size() == 1; }));
+        CPPUNIT_ASSERT(runUntil([&] { return second.frames.size() == 1 && first.established == 1; }));
         first.clock.advance(std::chrono::seconds(119));
         first.links.closeIdle();
         CPPUNIT_ASSERT(first.closed.empty());
@@ -169,6 +171,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {1}, first.closed.size());
         CPPUNIT_ASSERT(runUntil([&second] { return second.closed.size() == 1; }));
     }
+
+    // Guards against connections that hold a descriptor without ever saying who they are.
+    void testSilentConnectionIsClosed()
+    {
+        Peer peer("p-1");
+        RawClient silent(peer.links.address());
+        silent.send("");
+        CPPUNIT_ASSERT(runUntil([&peer] { return peer.links.connectionCount() == 1; }));
+        peer.clock.advance(std::chrono::seconds(9));
+        peer.links.closeIdle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, peer.links.connectionCount());
+        peer.clock.advance(std::chrono::seconds(2));
+        peer.links.closeIdle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, peer.links.connectionCount());
+        CPPUNIT_ASSERT(silent.waitForClose());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestPeerLinks);
