Write frames at once where the socket takes them

Cause: every frame waited for a turn of the main loop and a new event source. Change: PeerConnection::send writes first and leaves the rest to the main loop.

--- a/Libraries/LibProxy/PeerLinks.cpp
+++ b/Libraries/LibProxy/PeerLinks.cpp
@@ -146,14 +146,17 @@
 void PeerLinks::send(Link &link, const Frame &frame)
 {
     link.lastUsed = m_clock.now();
-    const std::size_t before = link.connection->bytesQueued();
-    if (before > MaximumQueuedBytes) {
+    if (link.connection->bytesQueued() > MaximumQueuedBytes) {
         handleClosed(link.id, {ErrorCode::ConnectionClosed, "the peer does not read"});
         return;
     }
+    const auto accepted = [&link] {
+        return link.connection->bytesSent() + link.connection->bytesQueued();
+    };
+    const std::uint64_t before = accepted();
     link.connection->send(frame);
     if (isControlFrame(frame)) {
-        m_metrics.count("fuchsiastep_control_bytes_total", "path=\"tcp\"", link.connection->bytesQueued() - before);
+        m_metrics.count("fuchsiastep_control_bytes_total", "path=\"tcp\"", accepted() - before);
         m_metrics.count("fuchsiastep_control_messages_total", "path=\"tcp\"");
     }
 }
--- a/Libraries/LibWire/PeerConnection.cpp
+++ b/Libraries/LibWire/PeerConnection.cpp
@@ -101,6 +101,22 @@
             [](gpointer data) { delete static_cast<std::function<void()> *>(data); });
     }
 
+    /// Writes at once what the operating system takes; the main loop writes the rest. A failure shows there as well,
+    /// so that the owner is never called back from send().
+    void send(const std::string &bytes)
+    {
+        std::size_t begin = 0;
+        if (!isConnecting && output.empty()) {
+            const gssize count = g_socket_send_with_blocking(socket, bytes.data(), bytes.size(), FALSE, nullptr, nullptr);
+            begin = count > 0 ? static_cast<std::size_t>(count) : 0;
+            bytesSent += begin;
+        }
+        if (begin < bytes.size()) {
+            output.append(bytes, begin);
+            watchWrites();
+        }
+    }
+
     void handleWritable()
     {
         if (isConnecting) {
@@ -248,10 +264,7 @@
     if (m_state->socket == nullptr) {
         return;
     }
-    m_state->output += encodeFrame(frame);
-    // The write happens from the main loop, so that frames of one turn share a system call and the
-    // owner is never called back from send().
-    m_state->watchWrites();
+    m_state->send(encodeFrame(frame));
 }
 
 void PeerConnection::close()
