--- a/Libraries/LibProxy/MembershipTask.cpp
+++ b/Libraries/LibProxy/MembershipTask.cpp
@@ -86,6 +86,7 @@
 
 void MembershipTask::handle(const HeldVersionChanged &change)
 {
+    m_peerVersions[m_settings.proxyId] = change.held.version;
     run(m_detector.handle(change));
 }
 
