Log or drop the events and codes that nothing used

Cause: the catalogue promised events and codes that no program ever gave. Change: 4003, 4002 and 6006 are logged now; five events and three codes are gone.

--- a/Libraries/LibCore/ErrorCode.h
+++ b/Libraries/LibCore/ErrorCode.h
@@ -49,10 +49,6 @@
     ChangeEmpty = 410,
     VersionRefused = 411,
 
-    MemberUnknown = 500,
-    SnapshotDeferred = 501,
-    NoPeers = 502,
-
     ServiceUnknown = 600,
     NoRoute = 601,
     NoUpstream = 602,
--- a/Libraries/LibCore/LogEvent.cpp
+++ b/Libraries/LibCore/LogEvent.cpp
@@ -8,8 +8,6 @@
 static constexpr std::array LogEvents {
     LogEventInfo {LogEvent::ProgramStarted, "ProgramStarted", LogLevel::Info, "A program started; fields give its version and addresses."},
     LogEventInfo {LogEvent::ProgramStopped, "ProgramStopped", LogLevel::Info, "A program stops in an orderly way."},
-    LogEventInfo {LogEvent::SettingsRejected, "SettingsRejected", LogLevel::Error, "The settings are not valid; the path names the field."},
-    LogEventInfo {LogEvent::ListenerOpened, "ListenerOpened", LogLevel::Info, "A listening socket was opened."},
     LogEventInfo {LogEvent::FreezeDetected,
         "FreezeDetected",
         LogLevel::Warning,
@@ -50,17 +48,12 @@
     LogEventInfo {LogEvent::UpstreamLost, "UpstreamLost", LogLevel::Warning, "The upstream of this instance no longer announces itself."},
     LogEventInfo {
         LogEvent::UpstreamCrashed, "UpstreamCrashed", LogLevel::Warning, "The upstream broke its connections while it ran requests."},
-    LogEventInfo {LogEvent::UpstreamEjected, "UpstreamEjected", LogLevel::Info, "An upstream is left out of routing for a while."},
     LogEventInfo {LogEvent::FingerprintBlamed,
         "FingerprintBlamed",
         LogLevel::Warning,
         "A request crashed an upstream while it ran alone; its like are held off."},
     LogEventInfo {LogEvent::DrainStarted, "DrainStarted", LogLevel::Info, "The proxy refuses new work and finishes what is in flight."},
     LogEventInfo {LogEvent::DrainFinished, "DrainFinished", LogLevel::Info, "No request is in flight; the proxy may stop."},
-    LogEventInfo {
-        LogEvent::LateAnswerDropped, "LateAnswerDropped", LogLevel::Debug, "An answer arrived for a request that is no longer waiting."},
-    LogEventInfo {
-        LogEvent::ClaimSettled, "ClaimSettled", LogLevel::Info, "A claim whose insert was not answered was settled by reading its row."},
     LogEventInfo {LogEvent::HttpRequestRejected, "HttpRequestRejected", LogLevel::Info, "An HTTP request is not valid or too large."},
     LogEventInfo {
         LogEvent::TryFailed, "TryFailed", LogLevel::Debug, "A proxy beside an upstream did not answer a request; it may be tried again."},
--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -17,8 +17,6 @@
 enum class LogEvent : std::uint16_t {
     ProgramStarted = 1000,
     ProgramStopped = 1001,
-    SettingsRejected = 1002,
-    ListenerOpened = 1003,
     FreezeDetected = 1004,
 
     PeerConnected = 2000,
@@ -52,12 +50,9 @@
     UpstreamAnnounced = 6002,
     UpstreamLost = 6003,
     UpstreamCrashed = 6004,
-    UpstreamEjected = 6005,
     FingerprintBlamed = 6006,
     DrainStarted = 6007,
     DrainFinished = 6008,
-    LateAnswerDropped = 6009,
-    ClaimSettled = 6010,
     HttpRequestRejected = 6011,
     TryFailed = 6012,
 
--- a/Libraries/LibProxy/ConfigurationTask.cpp
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -423,8 +423,21 @@
     });
 }
 
+static void logSnapshot(const std::string &peer, const Frame &frame)
+{
+    const auto *pull = std::get_if<ConfigurationPullFrame>(&frame);
+    if (pull != nullptr && pull->versionHeld == 0) {
+        logEvent(LogEvent::SnapshotRequested, {{"peer", peer}});
+    }
+    const auto *part = std::get_if<ConfigurationSnapshotFrame>(&frame);
+    if (part != nullptr && part->content.empty()) {
+        logEvent(LogEvent::SnapshotServed, {{"peer", peer}, {"version", part->version}});
+    }
+}
+
 void ConfigurationTask::sendFrame(const std::string &peer, const Frame &frame)
 {
+    logSnapshot(peer, frame);
     const MemberRecord *member = m_table.find(peer);
     m_links.sendAnyWay(peer, member != nullptr ? std::optional(member->address) : std::nullopt, frame);
 }
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -407,6 +407,11 @@
 {
     constexpr std::size_t MaximumSuspectsPerTurn = 32;
     std::vector<CrashSuspectEntry> suspects = m_routing.suspects.takeChanges(MaximumSuspectsPerTurn);
+    for (const CrashSuspectEntry &entry : suspects) {
+        if (entry.isBlamed) {
+            logEvent(LogEvent::FingerprintBlamed, {{"fingerprint", entry.fingerprint}, {"crashes", entry.count}});
+        }
+    }
     if (!suspects.empty()) {
         m_onEvent(SuspectsChanged {std::move(suspects)});
     }
@@ -433,6 +438,7 @@
     m_metrics.setGauge("fuchsiastep_upstream_slots_in_use", m_gate.running());
     m_metrics.setGauge("fuchsiastep_upstream_waiting", static_cast<double>(m_gate.waiting()));
     m_metrics.setGauge("fuchsiastep_retries", static_cast<double>(counts.retries));
+    m_metrics.setGauge("fuchsiastep_late_answers", static_cast<double>(counts.lateAnswers));
 }
 
 } // namespace Fuchsiastep
