--- a/Meta/bench-report.py
+++ b/Meta/bench-report.py
@@ -180,8 +180,8 @@
         "gossip and probes": points.at("DetectorSecond", (MEMBERS, news), "sentBytesPerSecond"),
         "distribution": CHANGES_PER_SECOND * factor * points.at("DistributeChange", (MEMBERS,), "bytesPerMember"),
         "full exchange of records": points.at("MemberRecordSize", (25_999,), "bytes") / RESYNC_SECONDS_PER_MEMBER,
-        "snapshots and lists for joins": RESTARTS_PER_SECOND * factor / UPSTREAMS
-        * (points.at("SnapshotEncode", (UPSTREAMS,), "bytes") + UPSTREAMS * points.at("MemberRecordSize", (25_999,), "bytes")),
+        "snapshots for joins": RESTARTS_PER_SECOND * factor / UPSTREAMS * points.at("SnapshotEncode", (UPSTREAMS,), "bytes"),
+        "member lists for joins": contact_load(points, factor, "bytes") * CONTACT_ROWS * DATA_CENTRES / UPSTREAMS,
     }
 
 
