Bring the benchmarks in line with clang-tidy

Cause: function names and loops without braces broke the lint rules. Change: camelCase functions with the old benchmark names, and braces. Result: clang-tidy reports nothing in these files but the g++ warning options that it does not know, which it also reports for the libraries.

--- a/Benchmarks/AllocationCounter.cpp
+++ b/Benchmarks/AllocationCounter.cpp
@@ -16,16 +16,18 @@
 void *allocate(std::size_t size)
 {
     void *block = std::malloc(size);
-    if (!block)
+    if (!block) {
         std::abort();
+    }
     liveBytes.fetch_add(static_cast<std::int64_t>(malloc_usable_size(block)) + BlockHeaderBytes, std::memory_order_relaxed);
     return block;
 }
 
 void release(void *block)
 {
-    if (!block)
+    if (!block) {
         return;
+    }
     liveBytes.fetch_sub(static_cast<std::int64_t>(malloc_usable_size(block)) + BlockHeaderBytes, std::memory_order_relaxed);
     std::free(block);
 }
--- a/Benchmarks/BenchmarkFleet.cpp
+++ b/Benchmarks/BenchmarkFleet.cpp
@@ -58,8 +58,9 @@
     Selector selector;
     selector.name = serviceName(service) + "-selector-" + std::to_string(index);
     selector.service = serviceName(service);
-    if (index > 0)
+    if (index > 0) {
         selector.callers = {{"tier", "front"}};
+    }
     selector.upstreams = {{"track", "stable"}};
     selector.pathPrefix = index > 0 ? "/orders" : "/";
     selector.precedence = static_cast<std::int32_t>(index);
@@ -85,8 +86,9 @@
 std::vector<Endpoint> makeEndpoints(std::size_t upstreams)
 {
     std::vector<Endpoint> endpoints;
-    for (std::size_t index = 0; index < upstreams; ++index)
+    for (std::size_t index = 0; index < upstreams; ++index) {
         endpoints.push_back(makeEndpoint(index, upstreams));
+    }
     return endpoints;
 }
 
@@ -95,11 +97,13 @@
     std::vector<DeclaredObject> objects;
     for (std::size_t service = 0; service < serviceCountFor(upstreams); ++service) {
         objects.emplace_back(ServiceDeclaration {serviceName(service), {{"tier", "front"}}});
-        for (std::size_t index = 0; index < SelectorsPerService; ++index)
+        for (std::size_t index = 0; index < SelectorsPerService; ++index) {
             objects.emplace_back(makeSelector(service, index, upstreams));
+        }
     }
-    for (std::size_t index = 0; index < upstreams; ++index)
+    for (std::size_t index = 0; index < upstreams; ++index) {
         objects.emplace_back(UpstreamLabels {upstreamId(index), serviceName(index % serviceCountFor(upstreams)), {{"rack", "r1"}}});
+    }
     const auto empty = Configuration::empty();
     return expectValue(empty->tryApply(ConfigurationDelta::onTopOf(*empty, std::move(objects), {})));
 }
--- a/Benchmarks/ConfigurationBenchmarks.cpp
+++ b/Benchmarks/ConfigurationBenchmarks.cpp
@@ -27,74 +27,81 @@
     return View::empty()->withConfiguration(makeConfiguration(upstreams))->withEndpoints(makeEndpoints(upstreams), {});
 }
 
-void ConfigurationApply(benchmark::State &state)
+void configurationApply(benchmark::State &state)
 {
     const auto base = makeConfiguration(sizeOf(state));
     const auto delta = makeChange(*base, 7, sizeOf(state));
-    for (auto _ : state)
+    for (auto _ : state) {
         benchmark::DoNotOptimize(base->tryApply(delta));
+    }
 }
-BENCHMARK(ConfigurationApply)->Apply(fleetSizes)->MinTime(0.2);
+BENCHMARK(configurationApply)->Name("ConfigurationApply")->Apply(fleetSizes)->MinTime(0.2);
 
-void DeltaDecode(benchmark::State &state)
+void deltaDecode(benchmark::State &state)
 {
     const auto base = makeConfiguration(sizeOf(state));
     const auto bytes = makeChange(*base, 7, sizeOf(state)).encode();
-    for (auto _ : state)
+    for (auto _ : state) {
         benchmark::DoNotOptimize(ConfigurationDelta::tryDecode(bytes));
+    }
     state.counters["bytes"] = static_cast<double>(bytes.size());
 }
-BENCHMARK(DeltaDecode)->Apply(fleetSizes)->MinTime(0.1);
+BENCHMARK(deltaDecode)->Name("DeltaDecode")->Apply(fleetSizes)->MinTime(0.1);
 
-void ViewWithConfiguration(benchmark::State &state)
+void viewWithConfiguration(benchmark::State &state)
 {
     const auto view = makeView(sizeOf(state));
     const auto next = expectValue(view->configuration()->tryApply(makeChange(*view->configuration(), 7, sizeOf(state))));
-    for (auto _ : state)
+    for (auto _ : state) {
         benchmark::DoNotOptimize(view->withConfiguration(next));
+    }
 }
-BENCHMARK(ViewWithConfiguration)->Apply(fleetSizes)->MinTime(0.2);
+BENCHMARK(viewWithConfiguration)->Name("ViewWithConfiguration")->Apply(fleetSizes)->MinTime(0.2);
 
-void ViewWithEndpoint(benchmark::State &state)
+void viewWithEndpoint(benchmark::State &state)
 {
     const auto view = makeView(sizeOf(state));
     auto endpoint = makeEndpoint(11, sizeOf(state));
     endpoint.isDraining = true;
-    for (auto _ : state)
+    for (auto _ : state) {
         benchmark::DoNotOptimize(view->withEndpoints({endpoint}, {}));
+    }
 }
-BENCHMARK(ViewWithEndpoint)->Apply(fleetSizes)->MinTime(0.2);
+BENCHMARK(viewWithEndpoint)->Name("ViewWithEndpoint")->Apply(fleetSizes)->MinTime(0.2);
 
-void ViewResolve(benchmark::State &state)
+void viewResolve(benchmark::State &state)
 {
     const auto view = makeView(sizeOf(state));
     const auto service = serviceName(3);
-    for (auto _ : state)
+    for (auto _ : state) {
         benchmark::DoNotOptimize(view->tryResolve("service-1", service, "GET", "/orders/17"));
+    }
 }
-BENCHMARK(ViewResolve)->Apply(fleetSizes)->MinTime(0.2);
+BENCHMARK(viewResolve)->Name("ViewResolve")->Apply(fleetSizes)->MinTime(0.2);
 
-void SnapshotEncode(benchmark::State &state)
+void snapshotEncode(benchmark::State &state)
 {
     const auto configuration = makeConfiguration(sizeOf(state));
-    for (auto _ : state)
+    for (auto _ : state) {
         benchmark::DoNotOptimize(configuration->encode());
+    }
     state.counters["bytes"] = static_cast<double>(configuration->encode().size());
 }
-BENCHMARK(SnapshotEncode)->Apply(fleetSizes)->MinTime(0.2);
+BENCHMARK(snapshotEncode)->Name("SnapshotEncode")->Apply(fleetSizes)->MinTime(0.2);
 
-void SnapshotDecode(benchmark::State &state)
+void snapshotDecode(benchmark::State &state)
 {
     const auto configuration = makeConfiguration(sizeOf(state));
     const auto bytes = configuration->encode();
-    for (auto _ : state)
+    for (auto _ : state) {
         benchmark::DoNotOptimize(Configuration::tryDecode(bytes, configuration->version(), configuration->digest()));
+    }
     state.counters["bytes"] = static_cast<double>(bytes.size());
 }
-BENCHMARK(SnapshotDecode)->Apply(fleetSizes)->MinTime(0.2);
+BENCHMARK(snapshotDecode)->Name("SnapshotDecode")->Apply(fleetSizes)->MinTime(0.2);
 
 // A decoded configuration is what a proxy holds: objects that came over the wire and share nothing with a sender.
-void ConfigurationMemory(benchmark::State &state)
+void configurationMemory(benchmark::State &state)
 {
     const auto source = makeConfiguration(sizeOf(state));
     const auto bytes = source->encode();
@@ -107,9 +114,9 @@
     state.counters["heapBytes"] = static_cast<double>(held);
     state.counters["objects"] = static_cast<double>(source->objectCount());
 }
-BENCHMARK(ConfigurationMemory)->Apply(fleetSizes)->Iterations(1);
+BENCHMARK(configurationMemory)->Name("ConfigurationMemory")->Apply(fleetSizes)->Iterations(1);
 
-void ViewMemory(benchmark::State &state)
+void viewMemory(benchmark::State &state)
 {
     const auto configuration = makeConfiguration(sizeOf(state));
     std::int64_t held = 0;
@@ -124,21 +131,22 @@
     }
     state.counters["heapBytes"] = static_cast<double>(held);
 }
-BENCHMARK(ViewMemory)->Apply(fleetSizes)->Iterations(1);
+BENCHMARK(viewMemory)->Name("ViewMemory")->Apply(fleetSizes)->Iterations(1);
 
-void MembershipMemory(benchmark::State &state)
+void membershipMemory(benchmark::State &state)
 {
     const auto clock = Clock::manual();
     std::int64_t held = 0;
     for (auto _ : state) {
         const auto before = liveHeapBytes();
         MembershipTable table(makeMember(0, sizeOf(state)), clock);
-        for (std::size_t index = 1; index < sizeOf(state); ++index)
+        for (std::size_t index = 1; index < sizeOf(state); ++index) {
             table.merge(makeMember(index, sizeOf(state)));
+        }
         held = liveHeapBytes() - before;
     }
     state.counters["heapBytes"] = static_cast<double>(held);
 }
-BENCHMARK(MembershipMemory)->Apply(fleetSizes)->Iterations(1);
+BENCHMARK(membershipMemory)->Name("MembershipMemory")->Apply(fleetSizes)->Iterations(1);
 
 } // namespace
--- a/Benchmarks/ContactBenchmarks.cpp
+++ b/Benchmarks/ContactBenchmarks.cpp
@@ -21,14 +21,15 @@
 MembershipTable makeTable(std::size_t self, std::size_t members, const Clock &clock)
 {
     MembershipTable table(makeMember(self, TargetMembers), clock);
-    for (std::size_t index = 0; index < members; ++index)
+    for (std::size_t index = 0; index < members; ++index) {
         table.merge(makeMember(index, TargetMembers));
+    }
     return table;
 }
 
 /// A contact answers one joining member. Arguments: members of the fleet, and whether the joining member is of
 /// another data centre (1) or of the contact's own (0).
-void JoinAnswer(benchmark::State &state)
+void joinAnswer(benchmark::State &state)
 {
     const auto members = static_cast<std::size_t>(state.range(0));
     const auto clock = Clock::manual();
@@ -50,12 +51,13 @@
             }
         }
     }
-    if (frames == 0)
+    if (frames == 0) {
         state.SkipWithError("the contact did not answer");
+    }
     state.counters["bytes"] = static_cast<double>(bytes);
     state.counters["frames"] = static_cast<double>(frames);
 }
-BENCHMARK(JoinAnswer)->ArgsProduct({{1'000, 8'000, 26'000}, {0, 1}})->MinTime(0.1)->Unit(benchmark::kMillisecond);
+BENCHMARK(joinAnswer)->Name("JoinAnswer")->ArgsProduct({{1'000, 8'000, 26'000}, {0, 1}})->MinTime(0.1)->Unit(benchmark::kMillisecond);
 
 /// Plays the platform for the contact rows of the fleet and counts the calls.
 struct ContactPlatform
@@ -69,8 +71,9 @@
     {
         for (const auto &output : outputs) {
             joinRequests += std::holds_alternative<SendFrameToAddress>(output);
-            if (const auto *call = std::get_if<PlatformCall>(&output))
+            if (const auto *call = std::get_if<PlatformCall>(&output)) {
                 run(keeper, keeper.handle(PlatformReply {call->id, answer(call->request)}));
+            }
         }
     }
 
@@ -78,10 +81,12 @@
     {
         (isWrite(request) ? writes : reads) += 1;
         const auto *transaction = std::get_if<Transaction>(&request);
-        if (!transaction)
+        if (!transaction) {
             return Rows {rows};
-        for (const auto &write : transaction->writes)
+        }
+        for (const auto &write : transaction->writes) {
             store(write);
+        }
         return Committed {writes};
     }
 
@@ -94,7 +99,7 @@
 };
 
 /// The argument is the number of data centres. One member of each keeps all contact rows of it, then one joins.
-void JoinRequests(benchmark::State &state)
+void joinRequests(benchmark::State &state)
 {
     const auto dataCentres = static_cast<std::size_t>(state.range(0));
     ContactPlatform platform;
@@ -126,14 +131,15 @@
             clock.advance(std::chrono::milliseconds(100));
         }
     }
-    if (platform.joinRequests == 0)
+    if (platform.joinRequests == 0) {
         state.SkipWithError("the joining member asked no contact");
+    }
     state.counters["contactRows"] = static_cast<double>(platform.rows.size());
     state.counters["refreshWritesIn40Seconds"] = static_cast<double>(refreshWrites);
     state.counters["joinRequests"] = static_cast<double>(platform.joinRequests);
     state.counters["joinReads"] = static_cast<double>(platform.reads);
 }
-BENCHMARK(JoinRequests)->Arg(1)->Arg(4)->Arg(8)->Iterations(1);
+BENCHMARK(joinRequests)->Name("JoinRequests")->Arg(1)->Arg(4)->Arg(8)->Iterations(1);
 
 /// Index of the member of the first data centre that is its first bridge.
 std::size_t firstBridge(std::size_t members)
@@ -183,8 +189,9 @@
     {
         for (const auto &output : outputs) {
             const auto *send = std::get_if<SendFrame>(&output);
-            if (!send)
+            if (!send) {
                 continue;
+            }
             ++m_sentFrames;
             m_sentBytes += encodeFrame(send->frame).size() + SegmentHeaderBytes;
             const auto answer = encodeMemberSync({MemberSyncKind::ExchangeAnswer, {}}).front();
@@ -207,29 +214,36 @@
 
 /// Arguments: members of the fleet, and record changes of the whole fleet in 1,000 seconds, of which an eighth
 /// is in the own data centre. The first exchange, with all records, is counted apart.
-void BridgeSecond(benchmark::State &state)
+void bridgeSecond(benchmark::State &state)
 {
     constexpr int Seconds = 60;
     AnsweredBridge bridge(static_cast<std::size_t>(state.range(0)));
-    for (int second = 0; second < 3; ++second)
+    for (int second = 0; second < 3; ++second) {
         bridge.runSecond();
+    }
     const auto firstBytes = bridge.sentBytes();
     const auto firstFrames = bridge.sentFrames();
     double due = 0;
     for (auto _ : state) {
         for (int second = 0; second < Seconds; ++second) {
-            for (due += static_cast<double>(state.range(1)) / 1000 / DataCentreCount; due >= 1; due -= 1)
+            for (due += static_cast<double>(state.range(1)) / 1000 / DataCentreCount; due >= 1; due -= 1) {
                 bridge.addNews();
+            }
             bridge.runSecond();
         }
     }
-    if (firstFrames == 0)
+    if (firstFrames == 0) {
         state.SkipWithError("the member is no bridge");
+    }
     state.counters["firstBytes"] = static_cast<double>(firstBytes);
     state.counters["framesPerSecond"] = static_cast<double>(bridge.sentFrames() - firstFrames) / Seconds;
     state.counters["sentBytesPerSecond"] = static_cast<double>(bridge.sentBytes() - firstBytes) / Seconds;
     state.counters["protocolSeconds"] = Seconds;
 }
-BENCHMARK(BridgeSecond)->ArgsProduct({{1'000, 8'000, 26'000}, {270, 2'700}})->Iterations(1)->Unit(benchmark::kMillisecond);
+BENCHMARK(bridgeSecond)
+    ->Name("BridgeSecond")
+    ->ArgsProduct({{1'000, 8'000, 26'000}, {270, 2'700}})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
 
 } // namespace
--- a/Benchmarks/DistributionBenchmarks.cpp
+++ b/Benchmarks/DistributionBenchmarks.cpp
@@ -52,11 +52,13 @@
             m_positions.emplace(ringPosition(proxyId(index)), index);
         }
         MembershipTable whole(makeMember(0, DeclaredUpstreams, 1), m_clock);
-        for (std::size_t index = 1; index < members; ++index)
+        for (std::size_t index = 1; index < members; ++index) {
             whole.merge(makeMember(index, DeclaredUpstreams, 1));
+        }
         m_readerId = rendezvousMembers(whole, dataCentreName(0), ReaderRoleName, 1).front()->proxyId;
-        for (std::size_t index = 0; index < members; ++index)
+        for (std::size_t index = 0; index < members; ++index) {
             member(m_readerId).table.merge(makeMember(index, DeclaredUpstreams, 1));
+        }
     }
 
     void distribute()
@@ -75,8 +77,9 @@
     std::size_t holders() const
     {
         std::size_t count = 0;
-        for (const auto &[id, each] : m_members)
+        for (const auto &[id, each] : m_members) {
             count += each->holder.current()->version() > m_base->version();
+        }
         return count;
     }
     const std::map<std::string, std::unique_ptr<Member>> &members() const
@@ -106,8 +109,9 @@
     {
         for (const auto &output : outputs) {
             const auto *send = std::get_if<SendFrame>(&output);
-            if (!send)
+            if (!send) {
                 continue;
+            }
             ++member(from).sentFrames;
             member(from).sentBytes += encodeFrame(send->frame).size() + SegmentHeaderBytes;
             m_queue.push_back({from, send->peer, send->frame, depth + 1});
@@ -131,10 +135,12 @@
 
     void learnRange(Member &receiver, const RingRange &range) const
     {
-        if (range.isEmpty())
+        if (range.isEmpty()) {
             return;
-        for (auto it = m_positions.lower_bound(range.begin); it != m_positions.end() && it->first <= range.end; ++it)
+        }
+        for (auto it = m_positions.lower_bound(range.begin); it != m_positions.end() && it->first <= range.end; ++it) {
             receiver.table.merge(makeMember(it->second, DeclaredUpstreams, 1));
+        }
     }
 
     Clock m_clock = Clock::manual();
@@ -148,12 +154,13 @@
     std::uint64_t m_deepest = 0;
 };
 
-void DistributeChange(benchmark::State &state)
+void distributeChange(benchmark::State &state)
 {
     const auto members = static_cast<std::size_t>(state.range(0));
     LosslessDataCentre dataCentre(members);
-    for (auto _ : state)
+    for (auto _ : state) {
         dataCentre.distribute();
+    }
     std::uint64_t frames = 0;
     std::uint64_t bytes = 0;
     std::uint64_t mostBytes = 0;
@@ -162,26 +169,28 @@
         bytes += member->sentBytes;
         mostBytes = std::max(mostBytes, member->sentBytes);
     }
-    if (dataCentre.holders() != members)
+    if (dataCentre.holders() != members) {
         state.SkipWithError("not every member holds the change");
+    }
     state.counters["framesPerMember"] = static_cast<double>(frames) / static_cast<double>(members);
     state.counters["bytesPerMember"] = static_cast<double>(bytes) / static_cast<double>(members);
     state.counters["mostBytesOfOneMember"] = static_cast<double>(mostBytes);
     state.counters["deepestDelivery"] = static_cast<double>(dataCentre.deepestDelivery());
 }
-BENCHMARK(DistributeChange)->Arg(100)->Arg(800)->Arg(3'250)->Iterations(1)->Unit(benchmark::kMillisecond);
+BENCHMARK(distributeChange)->Name("DistributeChange")->Arg(100)->Arg(800)->Arg(3'250)->Iterations(1)->Unit(benchmark::kMillisecond);
 
 /// Arguments: members, and whether the push names the whole ring (1) or a range without other members (0). The
 /// timed section has the codec of the frames, but no socket.
-void DelegatePush(benchmark::State &state)
+void delegatePush(benchmark::State &state)
 {
     const auto members = static_cast<std::size_t>(state.range(0));
     const bool isWholeRing = state.range(1) == 1;
     const auto clock = Clock::manual();
     Random random(1);
     Member delegate(0, clock, random, makeConfiguration(DeclaredUpstreams));
-    for (std::size_t index = 1; index < members; ++index)
+    for (std::size_t index = 1; index < members; ++index) {
         delegate.table.merge(makeMember(index, DeclaredUpstreams, 1));
+    }
     const auto position = ringPosition(proxyId(0));
     std::size_t step = 0;
     for (auto _ : state) {
@@ -193,11 +202,12 @@
         state.ResumeTiming();
         const auto frame = expectValue(tryDecodeFrame(std::string_view(bytes).substr(FrameHeaderBytes)));
         for (const auto &output : delegate.distributor.handle(PeerFrame {proxyId(1), frame})) {
-            if (const auto *send = std::get_if<SendFrame>(&output))
+            if (const auto *send = std::get_if<SendFrame>(&output)) {
                 benchmark::DoNotOptimize(encodeFrame(send->frame));
+            }
         }
     }
 }
-BENCHMARK(DelegatePush)->ArgsProduct({{100, 800, 3'250}, {0, 1}})->Iterations(200);
+BENCHMARK(delegatePush)->Name("DelegatePush")->ArgsProduct({{100, 800, 3'250}, {0, 1}})->Iterations(200);
 
 } // namespace
--- a/Benchmarks/MembershipBenchmarks.cpp
+++ b/Benchmarks/MembershipBenchmarks.cpp
@@ -20,12 +20,13 @@
 MembershipTable makeTable(std::size_t members, std::size_t dataCentres, const Clock &clock)
 {
     MembershipTable table(makeMember(0, members, dataCentres), clock);
-    for (std::size_t index = 1; index < members; ++index)
+    for (std::size_t index = 1; index < members; ++index) {
         table.merge(makeMember(index, members, dataCentres));
+    }
     return table;
 }
 
-void MembershipMerge(benchmark::State &state)
+void membershipMerge(benchmark::State &state)
 {
     const auto members = static_cast<std::size_t>(state.range(0));
     const auto clock = Clock::manual();
@@ -36,30 +37,33 @@
         benchmark::DoNotOptimize(table.merge(record));
     }
 }
-BENCHMARK(MembershipMerge)->Arg(1'000)->Arg(8'000)->Arg(26'000)->MinTime(0.2);
+BENCHMARK(membershipMerge)->Name("MembershipMerge")->Arg(1'000)->Arg(8'000)->Arg(26'000)->MinTime(0.2);
 
-void ProbeEncode(benchmark::State &state)
+void probeEncode(benchmark::State &state)
 {
     Ping ping;
     ping.cargo.senderId = proxyId(1);
     ping.targetId = proxyId(2);
-    for (std::size_t index = 0; index < static_cast<std::size_t>(state.range(0)); ++index)
+    for (std::size_t index = 0; index < static_cast<std::size_t>(state.range(0)); ++index) {
         ping.cargo.updates.push_back({makeMember(index, 26'000), {}});
+    }
     const ProbeDatagram datagram = ping;
-    for (auto _ : state)
+    for (auto _ : state) {
         benchmark::DoNotOptimize(encodeProbe(datagram));
+    }
     state.counters["bytes"] = static_cast<double>(encodeProbe(datagram).size());
 }
-BENCHMARK(ProbeEncode)->Arg(0)->Arg(2)->Arg(4)->MinTime(0.1);
+BENCHMARK(probeEncode)->Name("ProbeEncode")->Arg(0)->Arg(2)->Arg(4)->MinTime(0.1);
 
-void MemberRecordSize(benchmark::State &state)
+void memberRecordSize(benchmark::State &state)
 {
     std::string bytes;
-    for (auto _ : state)
+    for (auto _ : state) {
         bytes = encodeMemberRecord(makeMember(static_cast<std::size_t>(state.range(0)), 26'000));
+    }
     state.counters["bytes"] = static_cast<double>(bytes.size());
 }
-BENCHMARK(MemberRecordSize)->Arg(9)->Arg(999)->Arg(25'999)->Iterations(1);
+BENCHMARK(memberRecordSize)->Name("MemberRecordSize")->Arg(9)->Arg(999)->Arg(25'999)->Iterations(1);
 
 /// One detector among peers that answer every probe at once. What the detector sends by itself is also what
 /// each of its peers sends, so that it receives as many datagrams with the same news as it sends.
@@ -89,8 +93,9 @@
         while (m_clock.now() < end) {
             const auto deadline = m_detector.nextDeadline().value_or(end);
             m_clock.advance(std::max(Duration(0), std::min(deadline, end) - m_clock.now()));
-            if (m_detector.nextDeadline() && *m_detector.nextDeadline() > m_clock.now())
+            if (m_detector.nextDeadline() && *m_detector.nextDeadline() > m_clock.now()) {
                 continue;
+            }
             spontaneous(m_detector.advance());
         }
     }
@@ -131,8 +136,9 @@
     void run(const std::vector<FailureDetectorOutput> &outputs)
     {
         for (const auto &output : outputs) {
-            if (const auto *probe = std::get_if<SendProbe>(&output))
+            if (const auto *probe = std::get_if<SendProbe>(&output)) {
                 countSent(probe->datagram);
+            }
         }
     }
 
@@ -161,8 +167,9 @@
     {
         run(outputs);
         for (const auto &output : outputs) {
-            if (const auto *probe = std::get_if<SendProbe>(&output))
+            if (const auto *probe = std::get_if<SendProbe>(&output)) {
                 std::visit([this](const auto &content) { mirror(content); }, probe->datagram);
+            }
         }
     }
 
@@ -207,7 +214,7 @@
 
 /// Arguments: members of the data centre, and record changes of the whole fleet in 1,000 seconds. The fleet
 /// has eight such data centres. The timed section includes the codec of the probe, but no socket.
-void DetectorSecond(benchmark::State &state)
+void detectorSecond(benchmark::State &state)
 {
     const auto members = static_cast<std::size_t>(state.range(0));
     const double newsPerSecond = static_cast<double>(state.range(1)) / 1000;
@@ -220,8 +227,9 @@
     double due = 0;
     for (auto _ : state) {
         for (std::int64_t second = 0; second < ProtocolSeconds; ++second) {
-            for (due += newsPerSecond; due >= 1; due -= 1)
+            for (due += newsPerSecond; due >= 1; due -= 1) {
                 peers.addNews();
+            }
             peers.runTo(peers.now() + std::chrono::seconds(1));
         }
     }
@@ -234,6 +242,10 @@
 }
 
 // 270 and 2,700: four records for each of 5,800 restarts a day, and ten times that.
-BENCHMARK(DetectorSecond)->ArgsProduct({{100, 800, 3'250}, {0, 270, 2'700}})->Iterations(1)->Unit(benchmark::kMillisecond);
+BENCHMARK(detectorSecond)
+    ->Name("DetectorSecond")
+    ->ArgsProduct({{100, 800, 3'250}, {0, 270, 2'700}})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
 
 } // namespace
--- a/Benchmarks/RequestBenchmarks.cpp
+++ b/Benchmarks/RequestBenchmarks.cpp
@@ -37,25 +37,27 @@
     benchmark->Arg(256)->Arg(4'096)->Arg(65'536)->MinTime(0.2);
 }
 
-void RequestFrameEncode(benchmark::State &state)
+void requestFrameEncode(benchmark::State &state)
 {
     const Frame frame = makeRequest(static_cast<std::size_t>(state.range(0)));
-    for (auto _ : state)
+    for (auto _ : state) {
         benchmark::DoNotOptimize(encodeFrame(frame));
+    }
     state.counters["bytes"] = static_cast<double>(encodeFrame(frame).size());
 }
-BENCHMARK(RequestFrameEncode)->Apply(bodySizes);
+BENCHMARK(requestFrameEncode)->Name("RequestFrameEncode")->Apply(bodySizes);
 
-void RequestFrameDecode(benchmark::State &state)
+void requestFrameDecode(benchmark::State &state)
 {
     const auto bytes = encodeFrame(makeRequest(static_cast<std::size_t>(state.range(0))));
-    for (auto _ : state)
+    for (auto _ : state) {
         benchmark::DoNotOptimize(tryDecodeFrame(std::string_view(bytes).substr(FrameHeaderBytes)));
+    }
 }
-BENCHMARK(RequestFrameDecode)->Apply(bodySizes);
+BENCHMARK(requestFrameDecode)->Name("RequestFrameDecode")->Apply(bodySizes);
 
 /// A caller side and an upstream side that hand frames to each other without sockets and without the codec.
-void RequestThroughBoth(benchmark::State &state)
+void requestThroughBoth(benchmark::State &state)
 {
     const auto clock = Clock::manual();
     Random random(1);
@@ -90,18 +92,21 @@
                     const auto &answer = std::get<SendAnswer>(ended);
                     std::vector<CoordinatorOutput> outputs =
                         coordinator.handle(PeerAnswer {endpoint->proxyId, 1, endpoint->incarnation, answer.frame});
-                    for (const auto &part : answer.parts)
+                    for (const auto &part : answer.parts) {
                         outputs = coordinator.handle(PeerAnswer {endpoint->proxyId, 1, endpoint->incarnation, part});
-                    for (const auto &output : outputs)
+                    }
+                    for (const auto &output : outputs) {
                         answered += std::get<CallerAnswer>(output).outcome == RequestOutcome::Answered;
+                    }
                 }
             }
         }
     }
-    if (answered != token)
+    if (answered != token) {
         state.SkipWithError("a request was not answered");
+    }
 }
-BENCHMARK(RequestThroughBoth)->Apply(bodySizes);
+BENCHMARK(requestThroughBoth)->Name("RequestThroughBoth")->Apply(bodySizes);
 
 /// Claims of one proxy with a platform that commits each transaction after a fixed time.
 class ClaimRun
@@ -119,8 +124,9 @@
             m_events.push({arrival,
                 ClaimWanted {++m_nextId, "order-desk", "key-" + std::to_string(m_nextId), {}, arrival + std::chrono::seconds(5)}});
         }
-        while (!m_events.empty() || m_ledger.nextDeadline())
+        while (!m_events.empty() || m_ledger.nextDeadline()) {
             step();
+        }
     }
 
     std::uint64_t transactions() const
@@ -164,8 +170,9 @@
 
     void take(const std::vector<ClaimOutput> &outputs)
     {
-        for (const auto &output : outputs)
+        for (const auto &output : outputs) {
             std::visit([this](const auto &content) { accept(content); }, output);
+        }
     }
 
     void accept(const PlatformCall &call)
@@ -197,17 +204,27 @@
 };
 
 /// The argument is the number of claims that arrive at one proxy in a second.
-void ClaimTransactions(benchmark::State &state)
+void claimTransactions(benchmark::State &state)
 {
     constexpr std::size_t Claims = 2'000;
     ClaimRun run;
-    for (auto _ : state)
+    for (auto _ : state) {
         run.runClaims(Claims, static_cast<double>(state.range(0)));
-    if (run.owned() != Claims)
+    }
+    if (run.owned() != Claims) {
         state.SkipWithError("a claim was not owned");
+    }
     state.counters["transactionsPerClaim"] = static_cast<double>(run.transactions()) / Claims;
     state.counters["readsPerClaim"] = static_cast<double>(run.reads()) / Claims;
 }
-BENCHMARK(ClaimTransactions)->Arg(1)->Arg(10)->Arg(73)->Arg(1'000)->Arg(5'000)->Iterations(1)->Unit(benchmark::kMillisecond);
+BENCHMARK(claimTransactions)
+    ->Name("ClaimTransactions")
+    ->Arg(1)
+    ->Arg(10)
+    ->Arg(73)
+    ->Arg(1'000)
+    ->Arg(5'000)
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
 
 } // namespace
--- a/Benchmarks/RoutingBenchmarks.cpp
+++ b/Benchmarks/RoutingBenchmarks.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-void UpstreamSelect(benchmark::State &state)
+void upstreamSelect(benchmark::State &state)
 {
     const auto clock = Clock::manual();
     Random random(1);
@@ -20,8 +20,9 @@
     UpstreamSelector selector({.dataCentre = dataCentreName(0), .region = "region-0"}, routing, random);
     auto route = std::make_shared<Route>();
     route->selector = std::make_shared<Selector>(makeSelector(0, 0, 1));
-    for (std::size_t index = 0; index < static_cast<std::size_t>(state.range(0)); ++index)
+    for (std::size_t index = 0; index < static_cast<std::size_t>(state.range(0)); ++index) {
         route->endpoints.push_back(std::make_shared<Endpoint>(makeEndpoint(index, 1)));
+    }
     const std::shared_ptr<const Route> constRoute = route;
     std::size_t probes = 0;
     for (auto _ : state) {
@@ -30,6 +31,6 @@
     }
     state.counters["mostProbes"] = static_cast<double>(probes);
 }
-BENCHMARK(UpstreamSelect)->Arg(10)->Arg(100)->Arg(1'000)->MinTime(0.2);
+BENCHMARK(upstreamSelect)->Name("UpstreamSelect")->Arg(10)->Arg(100)->Arg(1'000)->MinTime(0.2);
 
 } // namespace
