Drive the bridge benchmark by its deadlines

Cause: a step each 100 ms could have added processor time that a proxy does not spend. Change: the benchmark advances the clock to RemoteSync::nextDeadline().

--- a/Benchmarks/ContactBenchmarks.cpp
+++ b/Benchmarks/ContactBenchmarks.cpp
@@ -163,7 +163,8 @@
         const auto end = m_clock.now() + std::chrono::seconds(1);
         while (m_clock.now() < end) {
             take(m_sync.advance());
-            m_clock.advance(std::chrono::milliseconds(100));
+            const auto deadline = m_sync.nextDeadline().value_or(end);
+            m_clock.advance(std::clamp<Duration>(deadline - m_clock.now(), std::chrono::milliseconds(1), end - m_clock.now()));
         }
     }
 
