--- a/Services/upstream-stand-in/EmulatorSettings.h
+++ b/Services/upstream-stand-in/EmulatorSettings.h
@@ -27,6 +27,8 @@
     /// Load is reported as its complement: idle as full and full as idle.
     bool loadLies = false;
     Duration healthDelay = std::chrono::milliseconds(6);
+    /// Each run is appended to this file as it begins, "<unix ms> <key>", so that runs of a killed process stay known.
+    std::string runLogPath;
 };
 
 } // namespace Fuchsiastep
--- a/Services/upstream-stand-in/UpstreamEmulator.cpp
+++ b/Services/upstream-stand-in/UpstreamEmulator.cpp
@@ -31,7 +31,11 @@
 
 UpstreamEmulator::UpstreamEmulator(EmulatorSettings settings, const Clock &clock, std::uint64_t seed)
     : m_settings(std::move(settings)), m_clock(clock), m_random(seed), m_startedAt(clock.now()), m_counter(m_settings.slots)
-{ }
+{
+    if (!m_settings.runLogPath.empty()) {
+        m_runLog.open(m_settings.runLogPath, std::ios::app);
+    }
+}
 
 void UpstreamEmulator::setDefaultId(const SocketAddress &address)
 {
@@ -71,6 +75,13 @@
     return Duration(static_cast<Duration::rep>(static_cast<double>(m_settings.serviceTime.count()) * jittered * slowness()));
 }
 
+void UpstreamEmulator::logRun(const std::string &key)
+{
+    if (m_runLog.is_open()) {
+        m_runLog << m_clock.unixMilliseconds() << ' ' << key << std::endl;
+    }
+}
+
 EmulatedAnswer UpstreamEmulator::refuse(std::string_view reason)
 {
     m_counter.refuse();
@@ -98,6 +109,7 @@
     EmulatedRun run;
     run.duration = drawDuration(request);
     run.number = m_counter.begin(request.key);
+    logRun(request.key);
     if (request.isCrash) {
         run.endsInCrash = true;
         run.duration /= 2;
--- a/Services/upstream-stand-in/UpstreamEmulator.h
+++ b/Services/upstream-stand-in/UpstreamEmulator.h
@@ -8,6 +8,7 @@
 
 #include <LibCore/LibCore.h>
 
+#include <fstream>
 #include <variant>
 
 namespace Fuchsiastep {
@@ -53,6 +54,7 @@
     double slowness() const;
     Duration drawDuration(const EmulatedRequest &request);
     EmulatedAnswer refuse(std::string_view reason);
+    void logRun(const std::string &key);
     EmulatedAnswer echo(const EmulatedRequest &request, const EmulatedRun &run) const;
 
     EmulatorSettings m_settings;
@@ -61,6 +63,7 @@
     TimePoint m_startedAt;
     RunCounter m_counter;
     bool m_isDraining = false;
+    std::ofstream m_runLog;
 };
 
 } // namespace Fuchsiastep
--- a/Services/upstream-stand-in/main.cpp
+++ b/Services/upstream-stand-in/main.cpp
@@ -25,6 +25,7 @@
 ABSL_FLAG(bool, health_lies, false, "GET /health says the opposite");
 ABSL_FLAG(bool, load_lies, false, "reports the complement of the load");
 ABSL_FLAG(std::uint32_t, health_delay_ms, 6, "time that GET /health takes");
+ABSL_FLAG(std::string, run_log, "", "file to which each run is appended as it begins: <unix ms> <key>");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the jitter");
 
 using namespace Fuchsiastep;
@@ -63,6 +64,7 @@
     settings.healthLies = absl::GetFlag(FLAGS_health_lies);
     settings.loadLies = absl::GetFlag(FLAGS_load_lies);
     settings.healthDelay = std::chrono::milliseconds(absl::GetFlag(FLAGS_health_delay_ms));
+    settings.runLogPath = absl::GetFlag(FLAGS_run_log);
     return settings;
 }
 
