--- a/Libraries/LibLab/FleetClient.cpp
+++ b/Libraries/LibLab/FleetClient.cpp
@@ -1,6 +1,7 @@
 #include <LibLab/FleetClient.h>
 
 #include <LibCore/JsonObjectReader.h>
+#include <LibLab/JsonNumbers.h>
 #include <LibLab/LabLoop.h>
 
 #include <algorithm>
@@ -124,18 +125,7 @@
 {
     HttpCall call;
     call.url = url;
-    const Result<JsonValue> value = JsonValue::tryParse(m_http.fetch(std::move(call)).body);
-    std::map<std::string, std::uint64_t> numbers;
-    const auto *object = isError(value) ? nullptr : std::get_if<JsonValue::Object>(&valueOf(value).content);
-    if (object == nullptr) {
-        return numbers;
-    }
-    for (const auto &[name, member] : *object) {
-        if (const auto *number = std::get_if<std::int64_t>(&member.content)) {
-            numbers[name] = static_cast<std::uint64_t>(*number);
-        }
-    }
-    return numbers;
+    return numbersOf(m_http.fetch(std::move(call)).body);
 }
 
 std::map<std::string, std::uint64_t> FleetClient::platformCounters()
--- a/Libraries/LibLab/LibLab.h
+++ b/Libraries/LibLab/LibLab.h
@@ -10,6 +10,7 @@
 #include <LibLab/HttpCall.h>
 #include <LibLab/HttpReply.h>
 #include <LibLab/Instance.h>
+#include <LibLab/JsonNumbers.h>
 #include <LibLab/LabHttp.h>
 #include <LibLab/LabLoop.h>
 #include <LibLab/LabProcess.h>
--- a/Services/naive-poller/main.cpp
+++ b/Services/naive-poller/main.cpp
@@ -1,5 +1,7 @@
 #include "NaivePoller.h"
 
+#include <LibCore/FlagNames.h>
+
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
