--- a/Libraries/LibLab/FleetClient.cpp
+++ b/Libraries/LibLab/FleetClient.cpp
@@ -72,12 +72,10 @@
     call.method = "POST";
     call.url = "http://" + m_fleet.at(index).control.toString() + "/v1/operator/changes";
     call.timeout = SubmitTimeout;
-    const ProxyStatus before = statuses({index}).at(index).value_or(ProxyStatus {});
     call.body = JsonValue(JsonValue::Object {
                               {"operation", operation},
                               {"operator", "fuchsialab"},
                               {"comment", ""},
-                              {"base_version", before.version},
                               {"store", store},
                               {"remove", JsonValue::Array {}},
                           })
@@ -136,7 +134,7 @@
 std::uint64_t FleetClient::readsOf(const std::map<std::string, std::uint64_t> &counters)
 {
     std::uint64_t reads = 0;
-    for (const char *name : {"reads", "scans", "objects_read"}) {
+    for (const char *name : {"reads", "objects_read"}) {
         const auto found = counters.find(name);
         reads += found == counters.end() ? 0 : found->second;
     }
@@ -149,7 +147,8 @@
     call.method = "POST";
     call.url = "http://" + m_fleet.platform().toString() + "/v1/faults";
     call.body = faults.toText();
-    return SOUP_STATUS_IS_SUCCESSFUL(m_http.fetch(std::move(call)).status);
+    const unsigned status = m_http.fetch(std::move(call)).status;
+    return SOUP_STATUS_IS_SUCCESSFUL(status);
 }
 
 std::map<std::string, std::uint64_t> FleetClient::upstreamRuns(std::size_t index)
--- a/Libraries/LibLab/FleetClient.h
+++ b/Libraries/LibLab/FleetClient.h
@@ -29,7 +29,7 @@
     /// Called with every round of statuses that a wait asks for.
     void setObserver(Observer observer);
 
-    /// Submits through a proxy. Fails with ProxyUnreachable; the detail is the answer.
+    /// Submits through a proxy, whatever state the objects are in. Fails with ProxyUnreachable; the detail is the answer.
     Result<AcceptedChange> trySubmit(std::size_t index, const JsonValue &store, const std::string &operation);
     /// Sets one label of a service of the plan to \a value, or declares the service \a name.
     Result<AcceptedChange> trySubmitLabel(std::size_t index, const std::string &name, const std::string &value);
@@ -40,7 +40,7 @@
 
     /// Counters of the platform stand-in by name; empty where it does not answer.
     std::map<std::string, std::uint64_t> platformCounters();
-    /// Calls that the counters count as reads: reads, scans and objects.
+    /// Reads of the table, with scans, and of the object store.
     static std::uint64_t readsOf(const std::map<std::string, std::uint64_t> &counters);
     /// Sets the faults of PlatformFaultSettings; an empty object ends all.
     bool setPlatformFaults(const JsonValue &faults);
--- a/Libraries/LibLab/LabHttp.cpp
+++ b/Libraries/LibLab/LabHttp.cpp
@@ -60,6 +60,9 @@
 void LabHttp::start(HttpCall call, Callback callback)
 {
     SoupMessage *message = soup_message_new(call.method.c_str(), call.url.c_str());
+    if (message == nullptr) {
+        g_error("not a URL: %s", call.url.c_str()); // A fault of the lab itself, so it ends the program.
+    }
     soup_message_add_flags(message, SoupMessageFlags(SOUP_MESSAGE_NEW_CONNECTION | SOUP_MESSAGE_NO_REDIRECT));
     SoupMessageHeaders *headers = soup_message_get_request_headers(message);
     soup_message_headers_replace(headers, "connection", "close");
--- a/Utilities/fuchsialab/LabSession.cpp
+++ b/Libraries/LibLab/LabSession.cpp
@@ -1,4 +1,4 @@
-#include "LabSession.h"
+#include <LibLab/LabSession.h>
 
 #include <algorithm>
 
--- a/Utilities/fuchsialab/LabSession.h
+++ b/Libraries/LibLab/LabSession.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibLab/LibLab.h>
+#include <LibLab/FleetClient.h>
 
 namespace Fuchsiastep {
 
--- a/Libraries/LibLab/LibLab.h
+++ b/Libraries/LibLab/LibLab.h
@@ -14,6 +14,7 @@
 #include <LibLab/LabHttp.h>
 #include <LibLab/LabLoop.h>
 #include <LibLab/LabProcess.h>
+#include <LibLab/LabSession.h>
 #include <LibLab/PlatformLink.h>
 #include <LibLab/ProcessCommand.h>
 #include <LibLab/ProxyStatus.h>
--- a/Libraries/LibLab/ProxyStatus.cpp
+++ b/Libraries/LibLab/ProxyStatus.cpp
@@ -19,6 +19,7 @@
     status.proxyId = reader.requiredString("proxy");
     status.isReady = reader.optionalBool("ready", false);
     status.isDraining = reader.optionalBool("draining", false);
+    status.isReader = reader.optionalBool("is_reader", false);
     status.version = number("version");
     status.knownVersion = number("known_version");
     status.adoptedUnixMs = static_cast<std::int64_t>(number("adopted_unix_ms"));
--- a/Libraries/LibLab/ProxyStatus.h
+++ b/Libraries/LibLab/ProxyStatus.h
@@ -14,6 +14,7 @@
     std::string proxyId;
     bool isReady = false;
     bool isDraining = false;
+    bool isReader = false;
     std::uint64_t version = 0;
     std::uint64_t knownVersion = 0;
     std::int64_t adoptedUnixMs = 0;
--- a/Utilities/fuchsialab/DirectExperiment.cpp
+++ b/Utilities/fuchsialab/DirectExperiment.cpp
@@ -1,6 +1,5 @@
 #include "Experiment.h"
 #include "Figures.h"
-#include "LabSession.h"
 #include "LoadRun.h"
 
 namespace Fuchsiastep {
--- a/Utilities/fuchsialab/ReadersExperiment.cpp
+++ b/Utilities/fuchsialab/ReadersExperiment.cpp
@@ -1,5 +1,4 @@
 #include "Experiment.h"
-#include "LabSession.h"
 #include "ReadRateWatch.h"
 
 namespace Fuchsiastep {
