--- a/Tests/Processes/TestVersions.cpp
+++ b/Tests/Processes/TestVersions.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Duration Limit = std::chrono::seconds(60);
+constexpr Duration Limit = std::chrono::seconds(30);
 
 /// Proxies without upstreams, with a watch on every version that they report.
 struct WatchedLab
@@ -62,6 +62,7 @@
     CPPUNIT_TEST_SUITE(TestVersions);
     CPPUNIT_TEST(restartWithoutPlatform);
     CPPUNIT_TEST(frozenReader);
+    CPPUNIT_TEST(burstOfChanges);
     CPPUNIT_TEST_SUITE_END();
 
     /// Guards against a restarted proxy that serves an older version, or none, while the platform is down and
@@ -113,6 +114,23 @@
         }
         watched.requireNoViolation();
     }
+
+    /// Guards against a proxy that stays behind for good after many versions in quick succession, when the deltas
+    /// that reach it no longer start from the version it holds.
+    void burstOfChanges()
+    {
+        constexpr int Changes = 50;
+        WatchedLab watched(13);
+        LabSession &lab = watched.lab;
+        for (int round = 0; round < 3; ++round) {
+            std::uint64_t version = 0;
+            for (int number = 0; number < Changes; ++number) {
+                version = watched.change(watched.random.below(lab.fleet.size()), round * Changes + number);
+            }
+            watched.requireHeld(lab.fleet.all(), version);
+        }
+        watched.requireNoViolation();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestVersions);
