Let a reader go on after another reader's push moves it past what it found

Cause: a reader keeps the delta that it found until the batch is due. Where a push of another reader moved its holder past the base of that delta, the delta failed with BaseMismatch, was kept, and every later delta was merged onto it with the same base, so the reader never adopted anything again. Change: the found delta is rebased on the version held when that lies within it, and is tried again after each adoption.

--- a/Libraries/LibMembership/Distributor.cpp
+++ b/Libraries/LibMembership/Distributor.cpp
@@ -152,6 +152,7 @@
         m_found.reset();
         return;
     }
+    rebaseFound();
     const Result<Configuration::Pointer> result = m_holder.current()->tryApply(*m_found);
     if (isError(result)) {
         // The delta is kept: merged with the next one it may lead past the version that is not valid.
@@ -161,6 +162,18 @@
     m_holdStep.emplace(m_settings, m_table, *std::exchange(m_found, std::nullopt), m_clock.now());
 }
 
+/// A push by another reader can move the holder past the version from which the found delta starts. The delta has
+/// the final value of every object that it names, so it leads to the same result from each version that it covers;
+/// the digest of the result shows whether that is so.
+void Distributor::rebaseFound()
+{
+    const VersionStamp own = held();
+    if (own.version > m_found->baseVersion && own.version < m_found->targetVersion) {
+        m_found->baseVersion = own.version;
+        m_found->baseDigest = own.digest;
+    }
+}
+
 void Distributor::runHoldStep()
 {
     if (!m_holdStep) {
@@ -349,6 +362,10 @@
 void Distributor::reportAdopted()
 {
     m_puller.adopted(held());
+    if (m_found && !m_foundDue) {
+        // What was found and could not be applied may follow the version that is held now.
+        m_foundDue = m_clock.now();
+    }
     m_outputs.emplace_back(ConfigurationAdopted {m_holder.current()});
 }
 
--- a/Libraries/LibMembership/Distributor.h
+++ b/Libraries/LibMembership/Distributor.h
@@ -64,6 +64,7 @@
     void finishSnapshot(const std::string &peer, const ConfigurationPuller::Snapshot &snapshot);
 
     void startFound();
+    void rebaseFound();
     void runHoldStep();
     void yieldToBetterReader(const std::string &peer, const ConfigurationPushFrame &push);
     bool applyPushed(const std::string &peer, const ConfigurationDelta &delta);
