--- a/Libraries/LibLab/Fleet.cpp
+++ b/Libraries/LibLab/Fleet.cpp
@@ -180,7 +180,7 @@
         }
         instance.proxy = valueOf(std::move(process));
     }
-    const Result<Done> started = tryWaitUntilStarted(indices, [](Instance &instance) -> LabProcess & { return *instance.proxy; });
+    Result<Done> started = tryWaitUntilStarted(indices, [](Instance &instance) -> LabProcess & { return *instance.proxy; });
     if (isError(started)) {
         return started;
     }
@@ -199,7 +199,7 @@
     const ServicePlan &service = m_plan.services.at(*instance.service);
     std::string labels;
     for (const auto &[name, value] : service.labels) {
-        labels += (labels.empty() ? "" : ",") + name + '=' + value;
+        labels.append(labels.empty() ? "" : ",").append(name).append("=").append(value);
     }
     return {
         "--listen=" + instance.ip + ":0",
