--- a/Libraries/LibProxy/ConfigurationTask.cpp
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -2,6 +2,7 @@
 
 #include <LibProxy/EarliestDeadline.h>
 #include <LibProxy/OperatorChangeParser.h>
+#include <LibProxy/OperatorJson.h>
 
 #include <algorithm>
 
@@ -152,29 +153,7 @@
 
 void ConfigurationTask::handle(const ObjectsWanted &wanted)
 {
-    const Configuration::Pointer &configuration = m_holder.current();
-    JsonValue body = Declarations::of(*configuration).toJson();
-    auto &members = std::get<JsonValue::Object>(body.content);
-    members["version"] = configuration->version();
-    members["digest"] = configuration->digest().toHex();
-    wanted.reply({200, std::move(body)});
-}
-
-static JsonValue toJson(const AuditEntry &entry)
-{
-    JsonValue::Array changes;
-    for (const AuditedChange &change : entry.changes) {
-        changes.push_back(JsonValue::Object {
-            {"action", changeActionName(change.action)}, {"kind", objectKindName(change.name.kind)}, {"name", change.name.name}});
-    }
-    return JsonValue::Object {
-        {"version", entry.version},
-        {"operation", entry.operationId},
-        {"operator", entry.operatorName},
-        {"unix_ms", entry.unixMilliseconds},
-        {"comment", entry.comment},
-        {"changes", std::move(changes)},
-    };
+    wanted.reply({200, toJson(*m_holder.current())});
 }
 
 void ConfigurationTask::handle(const AuditWanted &wanted)
@@ -185,16 +164,7 @@
             reply(operatorFailure({ErrorCode::PlatformUnavailable, "the audit trail cannot be read"}));
             return;
         }
-        const AuditLog log = AuditLog::decode(rows->rows);
-        JsonValue::Array entries;
-        for (const AuditEntry &entry : log.entries) {
-            entries.push_back(toJson(entry));
-        }
-        JsonValue::Array unreadable;
-        for (const Error &error : log.unreadable) {
-            unreadable.push_back(describe(error));
-        }
-        reply({200, JsonValue::Object {{"entries", std::move(entries)}, {"unreadable", std::move(unreadable)}}});
+        reply({200, toJson(AuditLog::decode(rows->rows))});
     });
 }
 
@@ -204,15 +174,7 @@
         wanted.reply(operatorFailure({ErrorCode::ServiceUnknown, wanted.service}));
         return;
     }
-    JsonValue::Array routes;
-    for (const std::shared_ptr<const Route> &route : m_view->routesOf(wanted.service)) {
-        JsonValue::Array upstreams;
-        for (const std::shared_ptr<const Endpoint> &endpoint : route->endpoints) {
-            upstreams.push_back(endpoint->upstreamId);
-        }
-        routes.push_back(JsonValue::Object {{"selector", route->selector->name}, {"upstreams", std::move(upstreams)}});
-    }
-    wanted.reply({200, JsonValue::Object {{"version", m_holder.current()->version()}, {"routes", std::move(routes)}}});
+    wanted.reply({200, toJson(m_holder.current()->version(), m_view->routesOf(wanted.service))});
 }
 
 void ConfigurationTask::handle(const StatusWanted &wanted)
--- a/Libraries/LibProxy/MembershipTask.cpp
+++ b/Libraries/LibProxy/MembershipTask.cpp
@@ -1,6 +1,7 @@
 #include <LibProxy/MembershipTask.h>
 
 #include <LibProxy/EarliestDeadline.h>
+#include <LibProxy/PlatformCalls.h>
 
 namespace Fuchsiastep {
 
@@ -20,7 +21,7 @@
 }
 
 MembershipTask::MembershipTask(const ProxySettings &settings,
-    MemberRecord self,
+    const MemberRecord &self,
     const Clock &clock,
     Random &random,
     MetricsRegistry &metrics,
@@ -32,7 +33,7 @@
     , m_links(links)
     , m_platform(platform)
     , m_onEvent(std::move(onEvent))
-    , m_table(std::move(self), clock)
+    , m_table(self, clock)
     , m_detector(detectorSettings(settings.membership), m_table, clock, random)
     , m_contacts(contactSettings(settings), m_table, clock, random)
     , m_remotes({}, m_table, clock, random)
@@ -171,10 +172,7 @@
     for (ContactKeeperOutput &output : outputs) {
         std::visit(Overloaded {
                        [this](PlatformCall &call) {
-                           const CallId id = call.id;
-                           m_platform.send(std::move(call.request), [this, id](PlatformResponse response) {
-                               post(PlatformReply {id, std::move(response)});
-                           });
+                           sendPlatformCall(m_platform, std::move(call), [this](PlatformReply reply) { post(std::move(reply)); });
                        },
                        [this](const SendFrame &send) { sendFrame(send); },
                        [this](const SendFrameToAddress &send) { m_links.sendToAddress(send.address, send.frame); },
--- a/Libraries/LibProxy/MembershipTask.h
+++ b/Libraries/LibProxy/MembershipTask.h
@@ -38,7 +38,7 @@
     using EventHandler = std::function<void(MembershipTaskEvent event)>;
 
     MembershipTask(const ProxySettings &settings,
-        MemberRecord self,
+        const MemberRecord &self,
         const Clock &clock,
         Random &random,
         MetricsRegistry &metrics,
--- a/Libraries/LibProxy/OperatorTask.cpp
+++ b/Libraries/LibProxy/OperatorTask.cpp
@@ -40,7 +40,7 @@
     , m_server(MaximumBodyBytes, [this](HttpServerEvent event) { handleHttp(std::move(event)); })
     , m_silenceTimer(clock, [this] { m_onEvent(AnnouncementsEnded {}); })
     , m_mailbox([this](OperatorTaskMessage message) { std::visit([this](const auto &content) { handle(content); }, message); })
-    , m_replies([this](std::pair<std::uint64_t, OperatorReply> reply) { answer(reply.first, reply.second); })
+    , m_replies([this](const std::pair<std::uint64_t, OperatorReply> &reply) { answer(reply.first, reply.second); })
 { }
 
 OperatorTask::~OperatorTask() = default;
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -55,7 +55,7 @@
         self.dataCentre = m_settings.dataCentre;
         self.region = m_settings.region;
         m_membership = std::make_unique<MembershipTask>(
-            m_settings, std::move(self), m_clock, m_random, m_metrics, *m_links, *m_platform, [this](MembershipTaskEvent event) {
+            m_settings, self, m_clock, m_random, m_metrics, *m_links, *m_platform, [this](MembershipTaskEvent event) {
                 handleMembership(std::move(event));
             });
         const Result<Done> bound = m_membership->tryBind(m_links->address());
--- /dev/null
+++ b/Libraries/LibProxy/RequestSettings.cpp
@@ -0,0 +1,38 @@
+#include <LibProxy/RequestSettings.h>
+
+namespace Fuchsiastep {
+
+RequestCoordinator::Settings coordinatorSettings(const LimitSettings &limits)
+{
+    RequestCoordinator::Settings settings;
+    settings.maximumInFlight = limits.requestsInFlight;
+    settings.maximumRequestBytes = limits.requestBodyBytes;
+    settings.maximumAnswerBytes = limits.answerBodyBytes;
+    return settings;
+}
+
+UpstreamGate::Settings gateSettings(const LimitSettings &limits)
+{
+    UpstreamGate::Settings settings;
+    settings.queuePlacesPerSlot = limits.queuePerSlot;
+    settings.maximumQueueTime = limits.queueTime;
+    return settings;
+}
+
+ClaimLedger::Settings ledgerSettings(const ProxySettings &settings, std::uint64_t incarnation)
+{
+    ClaimLedger::Settings ledger;
+    ledger.proxyId = settings.proxyId;
+    ledger.incarnation = incarnation;
+    return ledger;
+}
+
+UpstreamSelector::Settings selectorSettings(const ProxySettings &settings)
+{
+    UpstreamSelector::Settings selector;
+    selector.dataCentre = settings.dataCentre;
+    selector.region = settings.region;
+    return selector;
+}
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Libraries/LibProxy/RequestSettings.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <LibProxy/ProxySettings.h>
+#include <LibRequest/LibRequest.h>
+#include <LibRouting/LibRouting.h>
+
+#include <cstdint>
+
+namespace Fuchsiastep {
+
+// The settings of the decision objects for requests, taken from the settings of the proxy.
+
+RequestCoordinator::Settings coordinatorSettings(const LimitSettings &limits);
+UpstreamGate::Settings gateSettings(const LimitSettings &limits);
+ClaimLedger::Settings ledgerSettings(const ProxySettings &settings, std::uint64_t incarnation);
+UpstreamSelector::Settings selectorSettings(const ProxySettings &settings);
+
+} // namespace Fuchsiastep
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -1,54 +1,14 @@
 #include <LibProxy/RequestTask.h>
 
 #include <LibProxy/EarliestDeadline.h>
+#include <LibProxy/PlatformCalls.h>
+#include <LibProxy/RequestSettings.h>
 
 #include <algorithm>
 
 namespace Fuchsiastep {
 
-namespace {
-
-constexpr Duration DrainPollInterval = std::chrono::milliseconds(20);
-
-RoutingState::Settings routingSettings()
-{
-    return {};
-}
-
-RequestCoordinator::Settings coordinatorSettings(const LimitSettings &limits)
-{
-    RequestCoordinator::Settings settings;
-    settings.maximumInFlight = limits.requestsInFlight;
-    settings.maximumRequestBytes = limits.requestBodyBytes;
-    settings.maximumAnswerBytes = limits.answerBodyBytes;
-    return settings;
-}
-
-UpstreamGate::Settings gateSettings(const LimitSettings &limits)
-{
-    UpstreamGate::Settings settings;
-    settings.queuePlacesPerSlot = limits.queuePerSlot;
-    settings.maximumQueueTime = limits.queueTime;
-    return settings;
-}
-
-ClaimLedger::Settings ledgerSettings(const ProxySettings &settings, std::uint64_t incarnation)
-{
-    ClaimLedger::Settings ledger;
-    ledger.proxyId = settings.proxyId;
-    ledger.incarnation = incarnation;
-    return ledger;
-}
-
-UpstreamSelector::Settings selectorSettings(const ProxySettings &settings)
-{
-    UpstreamSelector::Settings selector;
-    selector.dataCentre = settings.dataCentre;
-    selector.region = settings.region;
-    return selector;
-}
-
-} // namespace
+static constexpr Duration DrainPollInterval = std::chrono::milliseconds(20);
 
 struct RequestTask::CallInProgress
 {
@@ -71,7 +31,7 @@
     , m_links(links)
     , m_platform(platform)
     , m_onEvent(std::move(onEvent))
-    , m_routing(routingSettings(), clock, random)
+    , m_routing({}, clock, random)
     , m_selector(selectorSettings(settings), m_routing, random)
     , m_coordinator(coordinatorSettings(settings.limits), m_routing, m_selector, clock)
     , m_gate(gateSettings(settings.limits), m_routing.suspects, clock)
@@ -384,10 +344,7 @@
     for (ClaimOutput &output : outputs) {
         std::visit(Overloaded {
                        [this](PlatformCall &call) {
-                           const CallId id = call.id;
-                           m_platform.send(std::move(call.request), [this, id](PlatformResponse response) {
-                               post(PlatformReply {id, std::move(response)});
-                           });
+                           sendPlatformCall(m_platform, std::move(call), [this](PlatformReply reply) { post(std::move(reply)); });
                        },
                        [this](const ClaimSettled &settled) { run(m_gate.handle(settled)); },
                    },
--- a/Libraries/LibProxy/SoupSupport.cpp
+++ b/Libraries/LibProxy/SoupSupport.cpp
@@ -1,6 +1,6 @@
 #include <LibProxy/SoupSupport.h>
 
-#include <LibWire/BoundSocket.h>
+#include <LibCore/ListeningSocket.h>
 
 #include <algorithm>
 #include <array>
@@ -11,18 +11,14 @@
 
 Result<SocketAddress> tryListenHttp(SoupServer *server, const SocketAddress &address)
 {
-    constexpr int Backlog = 1024; // The default of 10 drops connections when callers come back all at once.
     SocketAddress listening = address;
-    const Result<GSocket *> bound = tryBindSocket(listening, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP);
-    if (isError(bound)) {
-        return errorOf(bound);
+    const Result<GSocket *> socket = tryOpenListeningSocket(listening);
+    if (isError(socket)) {
+        return errorOf(socket);
     }
-    GSocket *socket = valueOf(bound);
-    g_socket_set_listen_backlog(socket, Backlog);
     GError *error = nullptr;
-    const bool isListening = g_socket_listen(socket, &error) != FALSE
-        && soup_server_listen_socket(server, socket, static_cast<SoupServerListenOptions>(0), &error) != FALSE;
-    g_object_unref(socket);
+    const bool isListening = soup_server_listen_socket(server, valueOf(socket), static_cast<SoupServerListenOptions>(0), &error) != FALSE;
+    g_object_unref(valueOf(socket));
     if (!isListening) {
         Error failed {ErrorCode::ListenFailed, address.toString() + ": " + error->message};
         g_error_free(error);
--- a/Libraries/LibWire/DatagramSocket.cpp
+++ b/Libraries/LibWire/DatagramSocket.cpp
@@ -1,16 +1,46 @@
 #include <LibWire/DatagramSocket.h>
 
-#include <LibWire/BoundSocket.h>
-
 #include <array>
 
 namespace Fuchsiastep {
 
+static Error takeError(const SocketAddress &address, GError *error)
+{
+    Error result {ErrorCode::ListenFailed, address.toString() + ": " + (error != nullptr ? error->message : "not an IP address")};
+    g_clear_error(&error);
+    return result;
+}
+
+/// A non-blocking socket bound to \a address, which receives the port that the kernel chose for port 0. The caller owns
+/// the reference.
+static Result<GSocket *> tryBindSocket(SocketAddress &address)
+{
+    GSocketAddress *wanted = g_inet_socket_address_new_from_string(address.ip.c_str(), address.port);
+    if (wanted == nullptr) {
+        return takeError(address, nullptr);
+    }
+    GError *error = nullptr;
+    GSocket *socket = g_socket_new(g_socket_address_get_family(wanted), G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, &error);
+    const bool isBound = socket != nullptr && g_socket_bind(socket, wanted, TRUE, &error);
+    g_object_unref(wanted);
+    if (!isBound) {
+        g_clear_object(&socket);
+        return takeError(address, error);
+    }
+    g_socket_set_blocking(socket, FALSE);
+    GSocketAddress *local = g_socket_get_local_address(socket, nullptr);
+    if (local != nullptr) {
+        address.port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(local));
+        g_object_unref(local);
+    }
+    return socket;
+}
+
 Result<std::unique_ptr<DatagramSocket>> DatagramSocket::tryBind(const SocketAddress &address, DatagramHandler onDatagram)
 {
     std::unique_ptr<DatagramSocket> datagramSocket(new DatagramSocket);
     datagramSocket->m_address = address;
-    Result<GSocket *> socket = tryBindSocket(datagramSocket->m_address, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP);
+    Result<GSocket *> socket = tryBindSocket(datagramSocket->m_address);
     if (isError(socket)) {
         return errorOf(socket);
     }
--- a/Libraries/LibWire/PeerListener.cpp
+++ b/Libraries/LibWire/PeerListener.cpp
@@ -1,27 +1,19 @@
 #include <LibWire/PeerListener.h>
 
-#include <LibWire/BoundSocket.h>
+#include <LibCore/ListeningSocket.h>
 
 namespace Fuchsiastep {
 
 Result<std::unique_ptr<PeerListener>> PeerListener::tryListen(const SocketAddress &address, AcceptHandler onAccept)
 {
-    constexpr int Backlog = 1024; // A herd of proxies reconnects at once.
     std::unique_ptr<PeerListener> listener(new PeerListener);
     listener->m_address = address;
-    Result<GSocket *> socket = tryBindSocket(listener->m_address, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP);
+    const Result<GSocket *> socket = tryOpenListeningSocket(listener->m_address);
     if (isError(socket)) {
         return errorOf(socket);
     }
     listener->m_socket = valueOf(socket);
     listener->m_onAccept = std::move(onAccept);
-    g_socket_set_listen_backlog(listener->m_socket, Backlog);
-    GError *error = nullptr;
-    if (!g_socket_listen(listener->m_socket, &error)) {
-        const Error failed {ErrorCode::ListenFailed, error->message};
-        g_error_free(error);
-        return failed;
-    }
     listener->m_source = g_socket_create_source(listener->m_socket, G_IO_IN, nullptr);
     const GSocketSourceFunc callback = [](GSocket *, GIOCondition, gpointer data) -> gboolean {
         static_cast<PeerListener *>(data)->accept();
