--- a/Tests/Processes/TestRequestOutcomes.cpp
+++ b/Tests/Processes/TestRequestOutcomes.cpp
@@ -56,6 +56,7 @@
         requireDone(m_lab.tryAwaitEndpoints(Upstreams));
         const std::vector<std::string> keys = m_judge.openKeys();
         std::vector<HttpCall> calls;
+        calls.reserve(keys.size());
         for (const std::string &key : keys) {
             calls.push_back(orderFor(key, m_random.below(Proxies)));
         }
--- a/Utilities/fuchsiactl/AnswerReader.cpp
+++ b/Utilities/fuchsiactl/AnswerReader.cpp
@@ -10,7 +10,7 @@
 
 static Error readFailure(const ControlAnswer &answer)
 {
-    const Error unclear {ErrorCode::OperatorRequestMalformed, "HTTP status " + std::to_string(answer.status) + " without a result code"};
+    Error unclear {ErrorCode::OperatorRequestMalformed, "HTTP status " + std::to_string(answer.status) + " without a result code"};
     const Result<JsonValue> value = JsonValue::tryParse(answer.body);
     if (isError(value)) {
         return unclear;
--- a/Utilities/fuchsiactl/Difference.cpp
+++ b/Utilities/fuchsiactl/Difference.cpp
@@ -4,6 +4,13 @@
 
 namespace Fuchsiastep::ControlTool {
 
+static std::string describeField(const std::string &path, const std::string &before, const std::string &after)
+{
+    std::string line = path;
+    line.append(": ").append(before).append(" -> ").append(after);
+    return line;
+}
+
 static std::vector<std::string> compareFields(const JsonValue &before, const JsonValue &after)
 {
     constexpr const char *Absent = "(absent)";
@@ -13,12 +20,12 @@
     for (const auto &[path, text] : oldFields) {
         const auto found = newFields.find(path);
         if (found == newFields.end() || found->second != text) {
-            lines.push_back(path + ": " + text + " -> " + (found == newFields.end() ? Absent : found->second));
+            lines.push_back(describeField(path, text, found == newFields.end() ? Absent : found->second));
         }
     }
     for (const auto &[path, text] : newFields) {
         if (!oldFields.contains(path)) {
-            lines.push_back(path + ": " + Absent + " -> " + text);
+            lines.push_back(describeField(path, Absent, text));
         }
     }
     return lines;
--- a/Utilities/fuchsiactl/FieldList.cpp
+++ b/Utilities/fuchsiactl/FieldList.cpp
@@ -10,7 +10,12 @@
         return;
     }
     for (const auto &[name, member] : *object) {
-        collect(member, path.empty() ? name : path + '.' + name, fields);
+        std::string memberPath = path;
+        if (!path.empty()) {
+            memberPath += '.';
+        }
+        memberPath += name;
+        collect(member, memberPath, fields);
     }
 }
 
--- a/Utilities/fuchsiactl/VerbShow.cpp
+++ b/Utilities/fuchsiactl/VerbShow.cpp
@@ -11,7 +11,7 @@
     for (const auto &[path, value] : listFields(object)) {
         const bool isEmpty = value == "{}" || value == "[]";
         if (path != nameField && !isEmpty) {
-            text += (text.empty() ? "" : " ") + path + '=' + value;
+            text.append(text.empty() ? "" : " ").append(path).append("=").append(value);
         }
     }
     return text;
--- a/Utilities/fuchsialab/ReadersExperiment.cpp
+++ b/Utilities/fuchsialab/ReadersExperiment.cpp
@@ -8,7 +8,7 @@
 static Result<Done> tryMeasure(const ExperimentOptions &options, std::size_t proxies, Report &report)
 {
     LabSession lab(options.plan, {options.programFolder, proxies, false, false, options.seed});
-    const Result<Done> opened = lab.tryOpen();
+    Result<Done> opened = lab.tryOpen();
     if (isError(opened)) {
         return opened;
     }
