--- a/Libraries/LibProxy/ProxySettings.cpp
+++ b/Libraries/LibProxy/ProxySettings.cpp
@@ -54,6 +54,10 @@
 
     SocketAddress address(const std::string &path, const std::string &text)
     {
+        // A missing or empty address is reported already.
+        if (text.empty()) {
+            return {};
+        }
         const Result<SocketAddress> parsed = SocketAddress::tryParse(text);
         if (isError(parsed)) {
             report(path, "must be IP:PORT");
--- a/Services/fuchsiastepd/main.cpp
+++ b/Services/fuchsiastepd/main.cpp
@@ -60,6 +60,10 @@
     usage.version_string = [] {
         return std::string("fuchsiastepd " FUCHSIASTEP_VERSION "\n");
     };
+    // Abseil shows no flag of a file that is not named after the program.
+    usage.contains_help_flags = [](absl::string_view file) {
+        return file.find("main.cpp") != absl::string_view::npos;
+    };
     absl::SetFlagsUsageConfig(usage);
     const std::vector<char *> rest = absl::ParseCommandLine(argc, argv);
     if (rest.size() > 1 || absl::GetFlag(FLAGS_settings).empty()) {
--- a/Services/upstream-stand-in/main.cpp
+++ b/Services/upstream-stand-in/main.cpp
@@ -77,6 +77,10 @@
     usage.version_string = [] {
         return std::string("upstream-stand-in " FUCHSIASTEP_VERSION "\n");
     };
+    // Abseil shows no flag of a file that is not named after the program.
+    usage.contains_help_flags = [](absl::string_view file) {
+        return file.find("main.cpp") != absl::string_view::npos;
+    };
     absl::SetFlagsUsageConfig(usage);
     absl::ParseCommandLine(argc, argv);
 
