Use one backoff, and drop a function that nothing calls

Cause: reading the whole change: LibMembership had a twin of LibConfiguration's Backoff, and PeerLinks::bytesQueuedOn had lost its last caller. No behaviour changes.

--- a/Libraries/LibMembership/ConfigurationPuller.h
+++ b/Libraries/LibMembership/ConfigurationPuller.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include <LibConfiguration/Backoff.h>
 #include <LibCore/Clock.h>
 #include <LibCore/Random.h>
 #include <LibMembership/DistributorMessages.h>
 #include <LibMembership/DistributorSettings.h>
 #include <LibMembership/MembershipTable.h>
-#include <LibMembership/RetryBackoff.h>
 
 #include <map>
 #include <optional>
@@ -76,7 +76,7 @@
     const MembershipTable &m_table;
     const Clock &m_clock;
     Random &m_random;
-    RetryBackoff m_backoff;
+    Backoff m_backoff;
     /// Time for the next pull to be answered; it grows while pulls are not answered.
     Duration m_timeout;
     std::map<std::string, VersionStamp> m_candidates;
--- a/Libraries/LibMembership/ContactKeeper.h
+++ b/Libraries/LibMembership/ContactKeeper.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibConfiguration/Backoff.h>
 #include <LibCore/Clock.h>
 #include <LibCore/Random.h>
 #include <LibMembership/ContactKeeperMessages.h>
@@ -7,7 +8,6 @@
 #include <LibMembership/ContactRow.h>
 #include <LibMembership/MemberSync.h>
 #include <LibMembership/MembershipTable.h>
-#include <LibMembership/RetryBackoff.h>
 
 #include <cstdint>
 #include <optional>
@@ -53,7 +53,7 @@
     const MembershipTable &m_table;
     const Clock &m_clock;
     Random &m_random;
-    RetryBackoff m_backoff;
+    Backoff m_backoff;
     bool m_isJoined = false;
     std::uint64_t m_nextCall = 1;
     std::optional<std::uint64_t> m_scanCall;
--- a/Libraries/LibProxy/PeerLinks.cpp
+++ b/Libraries/LibProxy/PeerLinks.cpp
@@ -161,12 +161,6 @@
     }
 }
 
-std::size_t PeerLinks::bytesQueuedOn(std::uint64_t connectionId) const
-{
-    const auto link = m_links.find(connectionId);
-    return link == m_links.end() ? 0 : link->second->connection->bytesQueued();
-}
-
 bool PeerLinks::hasQueuedBytes() const
 {
     for (const auto &[id, link] : m_links) {
--- a/Libraries/LibProxy/PeerLinks.h
+++ b/Libraries/LibProxy/PeerLinks.h
@@ -70,8 +70,6 @@
     void sendToAddress(const SocketAddress &address, const Frame &frame);
     /// Sends on a connection that is open; drops the frame otherwise.
     void sendOn(std::uint64_t connectionId, const Frame &frame);
-    /// Bytes that wait to be sent on the connection.
-    std::size_t bytesQueuedOn(std::uint64_t connectionId) const;
     bool hasQueuedBytes() const;
     /// Connections in both directions.
     std::size_t connectionCount() const
