--- a/Libraries/LibConfiguration/ConfigurationDelta.cpp
+++ b/Libraries/LibConfiguration/ConfigurationDelta.cpp
@@ -37,6 +37,29 @@
     return delta;
 }
 
+ConfigurationDelta ConfigurationDelta::between(
+    const Configuration &base, std::vector<DeclaredObject> objects, ConfigurationVersion version)
+{
+    std::vector<DeclaredObject> stored;
+    std::set<ObjectName> kept;
+    for (DeclaredObject &object : objects) {
+        const ObjectName name = nameOf(object);
+        kept.insert(name);
+        if (base.object(name) != object) {
+            stored.push_back(std::move(object));
+        }
+    }
+    std::vector<ObjectName> removed;
+    base.forEachObject([&](const DeclaredObject &object) {
+        if (!kept.contains(nameOf(object))) {
+            removed.push_back(nameOf(object));
+        }
+    });
+    ConfigurationDelta delta = onTopOf(base, std::move(stored), std::move(removed));
+    delta.targetVersion = version;
+    return delta;
+}
+
 std::string ConfigurationDelta::encode() const
 {
     MsgpackWriter writer;
--- a/Libraries/LibConfiguration/ConfigurationDelta.h
+++ b/Libraries/LibConfiguration/ConfigurationDelta.h
@@ -27,6 +27,9 @@
     /// No object is named twice. The result is validated only when the delta is applied.
     static ConfigurationDelta onTopOf(const Configuration &base, std::vector<DeclaredObject> stored, std::vector<ObjectName> removed);
 
+    /// The delta from \a base to \a version, which consists of exactly \a objects.
+    static ConfigurationDelta between(const Configuration &base, std::vector<DeclaredObject> objects, ConfigurationVersion version);
+
     /// msgpack, for ConfigurationPushFrame and the rows change/<version>.
     std::string encode() const;
     /// Fails with DeclarationMalformed.
--- a/Libraries/LibConfiguration/DeclarationJson.cpp
+++ b/Libraries/LibConfiguration/DeclarationJson.cpp
@@ -38,9 +38,16 @@
     rules.priority = priority.value_or(rules.priority);
     const auto locality = localityFromName(reader.optionalString("locality", std::string(localityName(rules.locality))));
     if (!locality) {
-        reportField(errors, reader.pathOf("locality"), "must be \"nearest\", \"data-centre-only\" or \"anywhere\"");
+        reportField(errors, reader.pathOf("locality"), "must be \"nearest\", \"data-centre-only\", \"anywhere\" or \"fastest\"");
     }
     rules.locality = locality.value_or(rules.locality);
+    rules.targetLatency = Milliseconds(reader.optionalInteger("target_ms", 0, 0, MaximumTimeoutMs));
+    const auto repeatability =
+        repeatabilityFromName(reader.optionalString("repeatability", std::string(repeatabilityName(rules.repeatability))));
+    if (!repeatability) {
+        reportField(errors, reader.pathOf("repeatability"), "must be \"by-method\", \"always\" or \"never\"");
+    }
+    rules.repeatability = repeatability.value_or(rules.repeatability);
     reader.finish();
     return rules;
 }
@@ -72,6 +79,8 @@
     selector.methods = reader.optionalStrings("methods");
     selector.pathPrefix = reader.optionalString("path_prefix", selector.pathPrefix);
     selector.precedence = static_cast<std::int32_t>(reader.optionalInteger("precedence", 0, -MaximumPrecedence, MaximumPrecedence));
+    selector.host = reader.optionalString("host");
+    selector.weight = static_cast<std::uint32_t>(reader.optionalInteger("weight", selector.weight, 0, MaximumWeight));
     if (const JsonValue *rules = reader.optionalValue("rules")) {
         selector.rules = readRules(*rules, reader.pathOf("rules"), errors);
     }
@@ -130,6 +139,8 @@
         {"retries", static_cast<std::int64_t>(rules.maximumRetries)},
         {"priority", priorityName(rules.priority)},
         {"locality", localityName(rules.locality)},
+        {"target_ms", millisecondsOf(rules.targetLatency)},
+        {"repeatability", repeatabilityName(rules.repeatability)},
     };
 }
 
@@ -152,6 +163,8 @@
                                   {"methods", stringsToJson(selector.methods)},
                                   {"path_prefix", selector.pathPrefix},
                                   {"precedence", static_cast<std::int64_t>(selector.precedence)},
+                                  {"host", selector.host},
+                                  {"weight", static_cast<std::int64_t>(selector.weight)},
                                   {"rules", rulesToJson(selector.rules)},
                               };
                           },
--- /dev/null
+++ b/Libraries/LibConfiguration/DocumentReader.cpp
@@ -0,0 +1,132 @@
+#include <LibConfiguration/DocumentReader.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Fuchsiastep {
+
+DocumentReader::DocumentReader(DocumentReaderSettings settings, const Clock &clock, Random &random)
+    : m_settings(std::move(settings))
+    , m_clock(clock)
+    , m_random(random)
+    , m_backoff(m_settings.firstBackoff, m_settings.backoffCap)
+    , m_nextRead(clock.now())
+{ }
+
+std::vector<DocumentReaderOutput> DocumentReader::handle(const DocumentReaderInput &input)
+{
+    std::visit([this](const auto &message) { accept(message); }, input);
+    return takeOutputs();
+}
+
+std::vector<DocumentReaderOutput> DocumentReader::advance()
+{
+    const TimePoint now = m_clock.now();
+    if (m_nextRead && now >= *m_nextRead) {
+        m_nextRead.reset();
+        m_readCall = call(ReadRows {{m_settings.key}});
+    }
+    if (m_nextWatch && now >= *m_nextWatch) {
+        m_nextWatch.reset();
+        m_watchCall = call(WatchRows {m_settings.key, m_watchedRevision, m_settings.watchTime});
+    }
+    return takeOutputs();
+}
+
+std::optional<TimePoint> DocumentReader::nextDeadline() const
+{
+    if (m_nextRead && m_nextWatch) {
+        return std::min(*m_nextRead, *m_nextWatch);
+    }
+    return m_nextRead ? m_nextRead : m_nextWatch;
+}
+
+void DocumentReader::accept(const DocumentWanted &)
+{
+    if (!m_readCall) {
+        m_nextRead = m_clock.now();
+    }
+}
+
+void DocumentReader::accept(const PlatformReply &reply)
+{
+    if (m_readCall == reply.id) {
+        m_readCall.reset();
+        acceptRead(reply.response);
+    } else if (m_watchCall == reply.id) {
+        m_watchCall.reset();
+        acceptWatch(reply.response);
+    }
+}
+
+void DocumentReader::acceptRead(const PlatformResponse &response)
+{
+    const auto *rows = std::get_if<Rows>(&response);
+    if (rows == nullptr) {
+        fail(response);
+        return;
+    }
+    m_backoff.reset();
+    if (!findDocument(rows->rows)) {
+        m_outputs.emplace_back(DocumentMissing {});
+    }
+    if (!m_watchCall) {
+        scheduleWatch(rows->revision);
+    }
+}
+
+void DocumentReader::acceptWatch(const PlatformResponse &response)
+{
+    const auto *changes = std::get_if<RowsChanged>(&response);
+    if (changes != nullptr) {
+        m_backoff.reset();
+        findDocument(changes->rows);
+        scheduleWatch(changes->revision);
+    } else if (std::holds_alternative<HistoryGone>(response)) {
+        m_nextRead = m_clock.now();
+    } else {
+        fail(response);
+    }
+}
+
+bool DocumentReader::findDocument(const std::vector<Row> &rows)
+{
+    const auto found = std::find_if(
+        rows.rbegin(), rows.rend(), [this](const Row &row) { return row.key == m_settings.key && row.revision > 0; });
+    if (found != rows.rend()) {
+        m_outputs.emplace_back(DocumentFound {found->value, found->revision});
+    }
+    return found != rows.rend();
+}
+
+void DocumentReader::scheduleWatch(std::uint64_t revision)
+{
+    // A platform that answers watches at once must not be asked in a busy loop.
+    const bool isPauseNeeded = revision == m_watchedRevision;
+    m_watchedRevision = revision;
+    m_nextWatch = m_clock.now() + (isPauseNeeded ? m_settings.watchPause : Duration(0));
+}
+
+void DocumentReader::fail(const PlatformResponse &response)
+{
+    const auto *failure = std::get_if<PlatformFailure>(&response);
+    m_outputs.emplace_back(DocumentFailure {
+        failure != nullptr ? failure->error : Error {ErrorCode::PlatformMalformedAnswer, "an answer of another kind"}});
+    if (!m_readCall && !m_nextRead) {
+        m_nextRead = m_clock.now() + m_backoff.next(m_random);
+    }
+}
+
+CallId DocumentReader::call(PlatformRequest request)
+{
+    const CallId id = m_nextCall++;
+    m_outputs.emplace_back(PlatformCall {id, std::move(request)});
+    return id;
+}
+
+std::vector<DocumentReaderOutput> DocumentReader::takeOutputs()
+{
+    return std::exchange(m_outputs, {});
+}
+
+} // namespace Fuchsiastep
--- a/Libraries/LibConfiguration/LibConfiguration.h
+++ b/Libraries/LibConfiguration/LibConfiguration.h
@@ -12,6 +12,7 @@
 #include <LibConfiguration/DeclarationJson.h>
 #include <LibConfiguration/Declarations.h>
 #include <LibConfiguration/DeclaredObject.h>
+#include <LibConfiguration/DocumentReader.h>
 #include <LibConfiguration/Endpoint.h>
 #include <LibConfiguration/HeadRow.h>
 #include <LibConfiguration/Labels.h>
@@ -19,6 +20,7 @@
 #include <LibConfiguration/ObjectRow.h>
 #include <LibConfiguration/ObjectValidation.h>
 #include <LibConfiguration/OperatorChange.h>
+#include <LibConfiguration/HostRoutes.h>
 #include <LibConfiguration/Route.h>
 #include <LibConfiguration/RouteRules.h>
 #include <LibConfiguration/RowKeys.h>
--- a/Libraries/LibConfiguration/MsgpackReader.cpp
+++ b/Libraries/LibConfiguration/MsgpackReader.cpp
@@ -128,7 +128,9 @@
     rules.isKeyRequired = inner.takeBool();
     rules.maximumRetries = static_cast<std::uint32_t>(inner.takeUnsigned(std::numeric_limits<std::uint32_t>::max()));
     rules.priority = inner.takeEnumerator(RequestPriority::High);
-    rules.locality = inner.takeEnumerator(LocalityPreference::Anywhere);
+    rules.locality = inner.takeEnumerator(LocalityPreference::Fastest);
+    rules.targetLatency = Duration(inner.takeSigned(0, std::numeric_limits<std::int64_t>::max()));
+    rules.repeatability = inner.takeEnumerator(Repeatability::Never);
     check(inner);
     return rules;
 }
@@ -161,6 +163,8 @@
     selector.pathPrefix = reader.takeString();
     selector.precedence =
         static_cast<std::int32_t>(reader.takeSigned(std::numeric_limits<std::int32_t>::min(), std::numeric_limits<std::int32_t>::max()));
+    selector.host = reader.takeString();
+    selector.weight = static_cast<std::uint32_t>(reader.takeUnsigned(std::numeric_limits<std::uint32_t>::max()));
     selector.rules = reader.takeRules();
     return selector;
 }
--- a/Libraries/LibConfiguration/MsgpackWriter.cpp
+++ b/Libraries/LibConfiguration/MsgpackWriter.cpp
@@ -36,13 +36,15 @@
 
 void MsgpackWriter::put(const RouteRules &rules)
 {
-    beginArray(6);
+    beginArray(8);
     put(static_cast<std::int64_t>(rules.timeout.count()));
     put(rules.repeatableMethods);
     put(rules.isKeyRequired);
     put(static_cast<std::uint64_t>(rules.maximumRetries));
     putEnumerator(rules.priority);
     putEnumerator(rules.locality);
+    put(static_cast<std::int64_t>(rules.targetLatency.count()));
+    putEnumerator(rules.repeatability);
 }
 
 void MsgpackWriter::put(const DeclaredObject &object)
@@ -62,7 +64,7 @@
                        put(upstream.labels);
                    },
                    [&](const Selector &selector) {
-                       beginArray(9);
+                       beginArray(11);
                        putEnumerator(ObjectKind::Selector);
                        put(std::string_view(selector.name));
                        put(selector.callers);
@@ -71,6 +73,8 @@
                        put(selector.methods);
                        put(std::string_view(selector.pathPrefix));
                        put(static_cast<std::int64_t>(selector.precedence));
+                       put(std::string_view(selector.host));
+                       put(static_cast<std::uint64_t>(selector.weight));
                        put(selector.rules);
                    },
                },
--- a/Libraries/LibConfiguration/ObjectValidation.cpp
+++ b/Libraries/LibConfiguration/ObjectValidation.cpp
@@ -11,6 +11,7 @@
 static constexpr std::size_t MaximumMethods = 16;
 static constexpr std::size_t MaximumMethodLength = 16;
 static constexpr std::size_t MaximumPathPrefixLength = 1024;
+static constexpr std::size_t MaximumHostLength = 255;
 
 // The standard functions depend on the locale.
 static bool isLowerOrDigit(char character)
@@ -58,6 +59,10 @@
         if (selector.precedence < -MaximumPrecedence || selector.precedence > MaximumPrecedence) {
             report("precedence", rangeText(-MaximumPrecedence, MaximumPrecedence));
         }
+        checkHost(selector);
+        if (selector.weight > MaximumWeight) {
+            report("weight", rangeText(0, MaximumWeight));
+        }
         check(selector.rules);
     }
 
@@ -77,6 +82,9 @@
         if (rules.maximumRetries > MaximumRetryCount) {
             report("rules.retries", rangeText(0, MaximumRetryCount));
         }
+        if (rules.targetLatency < Milliseconds(0) || rules.targetLatency > Milliseconds(MaximumTimeoutMs)) {
+            report("rules.target_ms", rangeText(0, MaximumTimeoutMs));
+        }
     }
 
     void checkName(std::string_view path, std::string_view name)
@@ -114,6 +122,18 @@
         }
     }
 
+    void checkHost(const Selector &selector)
+    {
+        const std::string &host = selector.host;
+        const bool isValid = std::all_of(host.begin(), host.end(), [](char c) { return isPrintable(c) && c != ' ' && c != '/'; });
+        if (!isValid || host.size() > MaximumHostLength) {
+            report("host", "must be at most 255 printable characters without spaces and slashes");
+        }
+        if (!host.empty() && !selector.pathPrefix.ends_with('/')) {
+            report("path_prefix", "must end with '/' where a host is given");
+        }
+    }
+
     void checkPathPrefix(const std::string &prefix)
     {
         const bool hasOnlyPathCharacters = std::all_of(prefix.begin(), prefix.end(), [](char c) { return isPrintable(c) && c != ' '; });
--- a/Libraries/LibConfiguration/RouteRules.h
+++ b/Libraries/LibConfiguration/RouteRules.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Fuchsiastep {
@@ -16,6 +17,8 @@
     DataCentreOnly = 1,
     /// Every upstream alike.
     Anywhere = 2,
+    /// Where the answer is expected first; the own data centre where that makes little difference.
+    Fastest = 3,
 };
 
 /// Which requests are shed first under load.
@@ -25,6 +28,14 @@
     High = 2,
 };
 
+/// Which requests may run more than once.
+enum class Repeatability : std::uint8_t {
+    /// Those whose method is in RouteRules::repeatableMethods.
+    ByMethod = 0,
+    Always = 1,
+    Never = 2,
+};
+
 /// The rules of a selector.
 struct RouteRules
 {
@@ -38,6 +49,13 @@
     std::uint32_t maximumRetries = 2;
     RequestPriority priority = RequestPriority::Normal;
     LocalityPreference locality = LocalityPreference::Nearest;
+    /// Time within which an answer has its full use for the caller; 0 for none. Requests that would miss it are shed
+    /// rather than queued.
+    Duration targetLatency {0};
+    Repeatability repeatability = Repeatability::ByMethod;
+
+    /// Whether a request with this method may run more than once.
+    bool isRepeatable(std::string_view method) const;
 
     bool operator==(const RouteRules &) const = default;
 };
--- a/Libraries/LibConfiguration/RuleNames.cpp
+++ b/Libraries/LibConfiguration/RuleNames.cpp
@@ -5,10 +5,11 @@
 namespace Fuchsiastep {
 
 static constexpr std::array<std::string_view, 3> PriorityNames {"low", "normal", "high"};
-static constexpr std::array<std::string_view, 3> LocalityNames {"nearest", "data-centre-only", "anywhere"};
+static constexpr std::array<std::string_view, 4> LocalityNames {"nearest", "data-centre-only", "anywhere", "fastest"};
+static constexpr std::array<std::string_view, 3> RepeatabilityNames {"by-method", "always", "never"};
 
-template<typename Enumeration>
-static std::optional<Enumeration> findName(const std::array<std::string_view, 3> &names, std::string_view name)
+template<typename Enumeration, std::size_t Count>
+static std::optional<Enumeration> findName(const std::array<std::string_view, Count> &names, std::string_view name)
 {
     for (std::size_t i = 0; i < names.size(); ++i) {
         if (names[i] == name) {
@@ -38,4 +39,14 @@
     return findName<LocalityPreference>(LocalityNames, name);
 }
 
+std::string_view repeatabilityName(Repeatability repeatability)
+{
+    return RepeatabilityNames.at(static_cast<std::size_t>(repeatability));
+}
+
+std::optional<Repeatability> repeatabilityFromName(std::string_view name)
+{
+    return findName<Repeatability>(RepeatabilityNames, name);
+}
+
 } // namespace Fuchsiastep
--- a/Libraries/LibConfiguration/Selector.h
+++ b/Libraries/LibConfiguration/Selector.h
@@ -26,6 +26,11 @@
     /// Of the selectors that match a request, the highest precedence wins, then the longest path prefix,
     /// then the first name in alphabetical order.
     std::int32_t precedence = 0;
+    /// Callers that send this Host header reach the selector by their path alone, without naming the service; empty for
+    /// none. The path prefix then ends with '/'.
+    std::string host;
+    /// Share of the requests among the selectors with the same host and path prefix.
+    std::uint32_t weight = 1;
     RouteRules rules;
 
     bool operator==(const Selector &) const = default;
--- a/Libraries/LibConfiguration/View.cpp
+++ b/Libraries/LibConfiguration/View.cpp
@@ -31,6 +31,7 @@
     PersistentMap<Endpoint> endpoints;
     PersistentMap<ServiceEndpoints> endpointsByService;
     PersistentMap<ServiceRoutes> routes;
+    std::shared_ptr<const HostRoutes> hostRoutes = std::make_shared<const HostRoutes>();
 };
 
 namespace {
@@ -184,6 +185,7 @@
     content->configuration = std::move(configuration);
     content->configuration->forEachChangedService(
         *m_content->configuration, [&](const std::string &service) { resolveService(*content, service); });
+    content->hostRoutes = HostRoutes::build(*content->configuration);
     return std::make_shared<const View>(std::move(content));
 }
 
@@ -224,6 +226,31 @@
     return routes != nullptr ? routes->byName : std::vector<std::shared_ptr<const Route>>();
 }
 
+std::shared_ptr<const Route> View::routeOf(std::string_view service, std::string_view selector) const
+{
+    const auto routes = m_content->routes.find(service);
+    if (routes == nullptr) {
+        return nullptr;
+    }
+    const auto isBefore = [](const std::shared_ptr<const Route> &route, std::string_view name) {
+        return route->selector->name < name;
+    };
+    const auto found = std::lower_bound(routes->byName.begin(), routes->byName.end(), selector, isBefore);
+    return found != routes->byName.end() && (*found)->selector->name == selector ? *found : nullptr;
+}
+
+Result<std::shared_ptr<const HostRoute>> View::tryResolveHost(std::string_view host, std::string_view path) const
+{
+    if (m_content->configuration->version() == 0) {
+        return Error {ErrorCode::ConfigurationUnknown, "no configuration is held"};
+    }
+    std::shared_ptr<const HostRoute> route = m_content->hostRoutes->find(host, path);
+    if (route == nullptr) {
+        return Error {ErrorCode::NoRoute, "no selector for host \"" + std::string(host) + "\" and path \"" + std::string(path) + '"'};
+    }
+    return route;
+}
+
 Result<std::shared_ptr<const Route>> View::tryResolve(
     std::string_view caller, std::string_view service, std::string_view method, std::string_view path) const
 {
--- a/Libraries/LibConfiguration/View.h
+++ b/Libraries/LibConfiguration/View.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibConfiguration/Configuration.h>
+#include <LibConfiguration/HostRoutes.h>
 #include <LibConfiguration/Route.h>
 
 #include <memory>
@@ -36,6 +37,12 @@
     Result<std::shared_ptr<const Route>> tryResolve(
         std::string_view caller, std::string_view service, std::string_view method, std::string_view path) const;
 
+    /// The selectors that a request names by its host and path (without a query). Fails with ConfigurationUnknown or
+    /// NoRoute.
+    Result<std::shared_ptr<const HostRoute>> tryResolveHost(std::string_view host, std::string_view path) const;
+    /// The route of one selector; nullptr where there is none.
+    std::shared_ptr<const Route> routeOf(std::string_view service, std::string_view selector) const;
+
     // The content is in View.cpp.
     struct Content;
     explicit View(std::shared_ptr<const Content> content);
--- a/Libraries/LibCore/ErrorCode.h
+++ b/Libraries/LibCore/ErrorCode.h
@@ -70,6 +70,9 @@
     AnswerTruncated = 618,
     ClaimReleased = 619,
     CallerNotAllowed = 620,
+    HeadTooLarge = 621,
+    HeadTimeout = 622,
+    PlacementDeclined = 623,
 
     OperatorRequestMalformed = 700,
     WaitTimeout = 701,
--- a/Libraries/LibCore/LibCore.h
+++ b/Libraries/LibCore/LibCore.h
@@ -17,3 +17,4 @@
 #include <LibCore/Random.h>
 #include <LibCore/Result.h>
 #include <LibCore/SocketAddress.h>
+#include <LibCore/SocketSilence.h>
--- a/Libraries/LibCore/LogEvent.cpp
+++ b/Libraries/LibCore/LogEvent.cpp
@@ -30,6 +30,7 @@
     LogEventInfo {LogEvent::ProxyReady, "ProxyReady", LogLevel::Info, "The proxy knows the newest version around it and serves."},
     LogEventInfo {
         LogEvent::SnapshotWritten, "SnapshotWritten", LogLevel::Info, "A configuration snapshot was written to the object store."},
+    LogEventInfo {LogEvent::DocumentMissing, "DocumentMissing", LogLevel::Warning, "The platform holds no configuration document."},
     LogEventInfo {LogEvent::MemberJoined, "MemberJoined", LogLevel::Info, "A member was seen for the first time."},
     LogEventInfo {LogEvent::MemberSuspected, "MemberSuspected", LogLevel::Info, "A member did not answer direct and indirect probes."},
     LogEventInfo {LogEvent::MemberRemoved, "MemberRemoved", LogLevel::Warning, "A suspected member did not refute and was removed."},
@@ -57,6 +58,10 @@
     LogEventInfo {LogEvent::HttpRequestRejected, "HttpRequestRejected", LogLevel::Info, "An HTTP request is not valid or too large."},
     LogEventInfo {
         LogEvent::TryFailed, "TryFailed", LogLevel::Debug, "A proxy beside an upstream did not answer a request; it may be tried again."},
+    LogEventInfo {LogEvent::AnnouncementIgnored,
+        "AnnouncementIgnored",
+        LogLevel::Info,
+        "An announcement of the upstream is older than what is known, or of an earlier start."},
     LogEventInfo {LogEvent::OperatorRequestRejected, "OperatorRequestRejected", LogLevel::Info, "An operator request is not valid."},
 };
 
--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -36,6 +36,7 @@
     ChangeRefused = 4005,
     ProxyReady = 4006,
     SnapshotWritten = 4007,
+    DocumentMissing = 4008,
 
     MemberJoined = 5000,
     MemberSuspected = 5001,
@@ -55,6 +56,7 @@
     DrainFinished = 6008,
     HttpRequestRejected = 6011,
     TryFailed = 6012,
+    AnnouncementIgnored = 6013,
 
     OperatorRequestRejected = 7000,
 };
--- /dev/null
+++ b/Libraries/LibHttp/HttpParser.cpp
@@ -0,0 +1,272 @@
+#include <LibHttp/HttpParser.h>
+
+#include <LibHttp/HttpFields.h>
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <charconv>
+#include <set>
+#include <variant>
+
+namespace Fuchsiastep {
+
+namespace Http = boost::beast::http;
+
+namespace {
+
+using RequestParser = Http::parser<true, Http::string_body>;
+using ResponseParser = Http::parser<false, Http::string_body>;
+
+std::string toText(boost::string_view view)
+{
+    return {view.data(), view.size()};
+}
+
+template<typename Fields>
+std::set<std::string> fieldsNamedByConnection(const Fields &fields)
+{
+    std::set<std::string> names;
+    const auto range = fields.equal_range(Http::field::connection);
+    for (auto field = range.first; field != range.second; ++field) {
+        for (const auto token : Http::token_list(field->value())) {
+            names.insert(toLowerAscii(toText(token)));
+        }
+    }
+    return names;
+}
+
+template<typename Fields>
+HeaderList endToEndFields(const Fields &fields)
+{
+    const std::set<std::string> named = fieldsNamedByConnection(fields);
+    HeaderList headers;
+    for (const auto &field : fields) {
+        const std::string name = toLowerAscii(toText(field.name_string()));
+        if (isConnectionField(name) || named.contains(name)) {
+            continue;
+        }
+        std::string &value = headers[name];
+        // Repeated fields are one field with a comma-separated list (RFC 9110, 5.3).
+        if (!value.empty()) {
+            value += name == SetCookieName ? std::string(1, SetCookieSeparator) : ", ";
+        }
+        value += toText(field.value());
+    }
+    return headers;
+}
+
+/// The number of "timeout=5" in a Keep-Alive field.
+std::optional<Duration> parseKeepAlive(std::string_view text)
+{
+    constexpr std::string_view Parameter = "timeout=";
+    const std::size_t begin = text.find(Parameter);
+    if (begin == std::string_view::npos) {
+        return std::nullopt;
+    }
+    text.remove_prefix(begin + Parameter.size());
+    unsigned seconds = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    return parsed.ec == std::errc() ? std::optional<Duration>(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
+Error requestError(const boost::system::error_code &error)
+{
+    if (error == Http::error::body_limit) {
+        return {ErrorCode::BodyTooLarge, error.message()};
+    }
+    if (error == Http::error::header_limit) {
+        return {ErrorCode::HeadTooLarge, error.message()};
+    }
+    return {ErrorCode::RequestMalformed, error.message()};
+}
+
+} // namespace
+
+struct HttpParser::State
+{
+    Kind kind;
+    HttpLimits limits;
+    std::string input;
+    std::size_t inputBegin = 0;
+    std::variant<std::monostate, RequestParser, ResponseParser> parser;
+    bool hasStarted = false;
+    bool isContinueTold = false;
+    bool isBodyForbidden = false;
+
+    State(Kind wantedKind, const HttpLimits &wantedLimits) : kind(wantedKind), limits(wantedLimits)
+    {
+        restart();
+    }
+
+    template<typename Parser>
+    void configure(Parser &fresh) const
+    {
+        fresh.eager(true);
+        fresh.header_limit(limits.headBytes);
+        fresh.body_limit(limits.bodyBytes);
+    }
+
+    void restart()
+    {
+        if (kind == Kind::Request) {
+            configure(parser.emplace<RequestParser>());
+        } else {
+            auto &fresh = parser.emplace<ResponseParser>();
+            configure(fresh);
+            fresh.skip(isBodyForbidden);
+        }
+        hasStarted = false;
+        isContinueTold = false;
+    }
+
+    std::size_t unread() const
+    {
+        return input.size() - inputBegin;
+    }
+
+    void dropRead()
+    {
+        if (inputBegin == input.size()) {
+            input.clear();
+            inputBegin = 0;
+        }
+    }
+
+    template<typename Parser>
+    HttpMessage takeMessage(Parser &done) const
+    {
+        HttpMessage message;
+        message.isLast = !done.keep_alive();
+        auto content = done.release();
+        if constexpr (std::is_same_v<Parser, RequestParser>) {
+            message.method = toText(content.method_string());
+            message.target = toText(content.target());
+        } else {
+            message.status = static_cast<std::uint16_t>(content.result_int());
+        }
+        message.keepAlive = parseKeepAlive(toText(content[Http::field::keep_alive]));
+        message.headers = endToEndFields(content);
+        if (isBodyForbidden && content.has_content_length()) {
+            message.headers["content-length"] = toText(content[Http::field::content_length]);
+        }
+        message.body = std::move(content.body());
+        return message;
+    }
+
+    /// Feeds the parser until the message is whole or the input is used up.
+    template<typename Parser>
+    Result<std::optional<HttpMessage>> advance(Parser &current)
+    {
+        while (unread() > 0 && !current.is_done()) {
+            boost::system::error_code error;
+            hasStarted = true;
+            inputBegin += current.put(boost::asio::const_buffer(input.data() + inputBegin, unread()), error);
+            if (error == Http::error::need_more) {
+                break;
+            }
+            if (error) {
+                return kind == Kind::Request ? requestError(error) : Error {ErrorCode::AnswerTruncated, error.message()};
+            }
+        }
+        dropRead();
+        if (!current.is_done()) {
+            return std::optional<HttpMessage>();
+        }
+        std::optional<HttpMessage> message = takeMessage(current);
+        restart();
+        return message;
+    }
+};
+
+HttpParser::HttpParser(Kind kind, const HttpLimits &limits) : m_state(std::make_unique<State>(kind, limits))
+{ }
+
+HttpParser::~HttpParser() = default;
+
+void HttpParser::append(std::string_view bytes)
+{
+    m_state->input.erase(0, m_state->inputBegin);
+    m_state->inputBegin = 0;
+    m_state->input += bytes;
+}
+
+Result<std::optional<HttpMessage>> HttpParser::tryNext()
+{
+    constexpr std::uint16_t FirstFinalStatus = 200;
+    if (auto *request = std::get_if<RequestParser>(&m_state->parser)) {
+        return m_state->advance(*request);
+    }
+    while (true) {
+        Result<std::optional<HttpMessage>> next = m_state->advance(std::get<ResponseParser>(m_state->parser));
+        const bool isInterim = !isError(next) && valueOf(next) && valueOf(next)->status < FirstFinalStatus;
+        if (!isInterim) {
+            return next;
+        }
+    }
+}
+
+Result<std::optional<HttpMessage>> HttpParser::tryEnd()
+{
+    if (!m_state->hasStarted && m_state->unread() == 0) {
+        return std::optional<HttpMessage>();
+    }
+    auto *response = std::get_if<ResponseParser>(&m_state->parser);
+    if (response == nullptr) {
+        return Error {ErrorCode::AnswerTruncated, "the connection ended inside a request"};
+    }
+    boost::system::error_code error;
+    if (response->is_header_done()) {
+        response->put_eof(error);
+    }
+    if (error || !response->is_done()) {
+        return Error {ErrorCode::AnswerTruncated, "the connection ended inside an answer"};
+    }
+    std::optional<HttpMessage> message = m_state->takeMessage(*response);
+    message->isLast = true;
+    m_state->restart();
+    return message;
+}
+
+void HttpParser::expectNoBody()
+{
+    m_state->isBodyForbidden = true;
+    if (auto *response = std::get_if<ResponseParser>(&m_state->parser)) {
+        response->skip(true);
+    }
+}
+
+bool HttpParser::isBetweenMessages() const
+{
+    return !m_state->hasStarted && m_state->unread() == 0;
+}
+
+bool HttpParser::hasHead() const
+{
+    return std::visit(
+        [](const auto &parser) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(parser)>, std::monostate>) {
+                return false;
+            } else {
+                return parser.is_header_done();
+            }
+        },
+        m_state->parser);
+}
+
+bool HttpParser::takeContinueWish()
+{
+    const auto *request = std::get_if<RequestParser>(&m_state->parser);
+    if (request == nullptr || m_state->isContinueTold || !request->is_header_done()) {
+        return false;
+    }
+    const std::string expectation = toLowerAscii(toText(request->get()[Http::field::expect]));
+    if (expectation != "100-continue") {
+        return false;
+    }
+    m_state->isContinueTold = true;
+    return true;
+}
+
+} // namespace Fuchsiastep
--- a/Libraries/LibPlatform/PlatformClient.cpp
+++ b/Libraries/LibPlatform/PlatformClient.cpp
@@ -1,6 +1,7 @@
 #include <LibPlatform/PlatformClient.h>
 
 #include <LibCore/Logger.h>
+#include <LibCore/SocketSilence.h>
 #include <LibPlatform/PlatformCodec.h>
 
 #include <algorithm>
@@ -43,6 +44,18 @@
     }
 };
 
+static const char *mediaTypeOf(const PlatformRequest &request, const PlatformProtocol &protocol)
+{
+    return std::holds_alternative<PutObject>(request) ? PlatformObjectMediaType : protocol.mediaType.c_str();
+}
+
+/// Time that the platform may take by itself before it answers.
+static Duration waitOf(const PlatformRequest &request)
+{
+    const auto *watch = std::get_if<WatchRows>(&request);
+    return watch != nullptr ? watch->wait : Duration(0);
+}
+
 PlatformClient::PlatformClient(PlatformClientSettings settings) : m_settings(std::move(settings))
 {
     const int connections = static_cast<int>(std::max<std::size_t>(m_settings.maximumConcurrency, 1));
@@ -83,7 +96,7 @@
     call.sentAt = m_clock.now();
     m_calls.insert(&call);
     const bool isRefused = m_waiting.size() >= m_settings.maximumWaiting && m_onNetwork >= m_settings.maximumConcurrency;
-    const auto timeoutMs = std::chrono::ceil<std::chrono::milliseconds>(m_settings.timeout).count();
+    const auto timeoutMs = std::chrono::ceil<std::chrono::milliseconds>(m_settings.timeout + waitOf(call.request)).count();
     // A refused call is answered from the main loop like any other.
     call.timer = g_timeout_add(isRefused ? 0 : static_cast<guint>(timeoutMs), onTimeout, &call);
     if (isRefused) {
@@ -102,14 +115,9 @@
     }
 }
 
-static const char *mediaTypeOf(const PlatformRequest &request)
-{
-    return std::holds_alternative<PutObject>(request) ? PlatformObjectMediaType : PlatformMediaType;
-}
-
 void PlatformClient::start(Call &call)
 {
-    const PlatformHttpRequest http = encodePlatformRequest(call.request);
+    const PlatformHttpRequest http = m_settings.protocol.encode(call.request);
     call.message = soup_message_new(http.method.c_str(), (m_settings.baseUrl + http.path).c_str());
     if (call.message == nullptr) {
         g_source_remove(call.timer);
@@ -121,18 +129,27 @@
     soup_message_add_flags(call.message, SoupMessageFlags(SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_IDEMPOTENT));
     if (http.method != "GET") {
         GBytes *body = g_bytes_new(http.body.data(), http.body.size());
-        soup_message_set_request_body_from_bytes(call.message, mediaTypeOf(call.request), body);
+        soup_message_set_request_body_from_bytes(call.message, mediaTypeOf(call.request, m_settings.protocol), body);
         g_bytes_unref(body);
     }
     call.cancellable = g_cancellable_new();
     call.isOnNetwork = true;
     ++m_onNetwork;
+    g_signal_connect(call.message, "network-event", G_CALLBACK(onNetworkEvent), &call);
     // The signal comes after the connection is open and before the first byte.
     g_signal_connect(call.message, "starting", G_CALLBACK(onStarting), &call);
     g_signal_connect(call.message, "restarted", G_CALLBACK(onRestarted), &call);
     soup_session_send_and_read_async(m_session, call.message, G_PRIORITY_DEFAULT, call.cancellable, onAnswered, &call);
 }
 
+void PlatformClient::onNetworkEvent(SoupMessage *, GSocketClientEvent event, GIOStream *stream, gpointer data)
+{
+    if (event == G_SOCKET_CLIENT_CONNECTED && G_IS_SOCKET_CONNECTION(stream)) {
+        const auto &call = *static_cast<Call *>(data);
+        limitSilence(g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream)), call.client->m_settings.silenceLimit);
+    }
+}
+
 void PlatformClient::onStarting(SoupMessage *, gpointer data)
 {
     static_cast<Call *>(data)->hasStarted = true;
@@ -168,9 +185,10 @@
     return PlatformFailure {{isUnknown ? ErrorCode::PlatformOutcomeUnknown : ErrorCode::PlatformUnavailable, std::move(detail)}};
 }
 
-static PlatformResponse decodeAnswer(const PlatformRequest &request, unsigned status, std::string_view body)
+static PlatformResponse decodeAnswer(
+    const PlatformProtocol &protocol, const PlatformRequest &request, unsigned status, std::string_view body)
 {
-    Result<PlatformResponse> response = tryDecodePlatformResponse(request, status, body);
+    Result<PlatformResponse> response = protocol.tryDecode(request, status, body);
     if (!isError(response)) {
         return valueOf(std::move(response));
     }
@@ -200,7 +218,7 @@
     gsize size = 0;
     const auto *content = static_cast<const char *>(g_bytes_get_data(body, &size));
     const std::string_view text = size == 0 ? std::string_view() : std::string_view(content, size);
-    client.finish(*call, decodeAnswer(call->request, soup_message_get_status(call->message), text));
+    client.finish(*call, decodeAnswer(client.m_settings.protocol, call->request, soup_message_get_status(call->message), text));
 }
 
 void PlatformClient::finish(Call &call, PlatformResponse response)
@@ -216,14 +234,14 @@
 
 static std::string_view nameOf(const PlatformRequest &request)
 {
-    static constexpr std::array<std::string_view, 5> Names {"read", "scan", "transaction", "get-object", "put-object"};
+    static constexpr std::array<std::string_view, 6> Names {"read", "scan", "transaction", "get-object", "put-object", "watch"};
     return Names.at(request.index());
 }
 
 void PlatformClient::report(const Call &call, const PlatformResponse &response)
 {
     const TimePoint now = m_clock.now();
-    const Duration elapsed = now - call.sentAt;
+    const Duration elapsed = now - call.sentAt - waitOf(call.request);
     const auto *failure = std::get_if<PlatformFailure>(&response);
     if (failure == nullptr && elapsed < SlowCall) {
         return;
--- a/Libraries/LibPlatform/PlatformClient.h
+++ b/Libraries/LibPlatform/PlatformClient.h
@@ -42,6 +42,7 @@
 
     static void onAnswered(GObject *session, GAsyncResult *result, gpointer data);
     static gboolean onTimeout(gpointer data);
+    static void onNetworkEvent(SoupMessage *message, GSocketClientEvent event, GIOStream *stream, gpointer data);
     static void onStarting(SoupMessage *message, gpointer data);
     static void onRestarted(SoupMessage *message, gpointer data);
 
--- a/Libraries/LibPlatform/PlatformClientSettings.h
+++ b/Libraries/LibPlatform/PlatformClientSettings.h
@@ -1,12 +1,24 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibPlatform/PlatformCodec.h>
 
 #include <cstddef>
+#include <functional>
 #include <string>
 
 namespace Fuchsiastep {
 
+/// How calls are written as HTTP requests and their answers read.
+struct PlatformProtocol
+{
+    std::function<PlatformHttpRequest(const PlatformRequest &request)> encode;
+    /// Fails with PlatformMalformedAnswer, also where the answer does not fit the request.
+    std::function<Result<PlatformResponse>(const PlatformRequest &request, unsigned status, std::string_view body)> tryDecode;
+    /// Media type of bodies that are not the content of an object.
+    std::string mediaType;
+};
+
 struct PlatformClientSettings
 {
     /// "http://127.0.0.1:8080", without a path.
@@ -17,6 +29,9 @@
     std::size_t maximumConcurrency = 8;
     /// Calls that wait for one of those; further ones fail at once as PlatformUnavailable.
     std::size_t maximumWaiting = 1024;
+    /// Ends a connection that went silent, so that a watch on it does not hang until its own end.
+    Duration silenceLimit = std::chrono::seconds(3);
+    PlatformProtocol protocol {encodePlatformRequest, tryDecodePlatformResponse, PlatformMediaType};
 };
 
 } // namespace Fuchsiastep
--- a/Libraries/LibPlatform/PlatformCodec.cpp
+++ b/Libraries/LibPlatform/PlatformCodec.cpp
@@ -10,6 +10,7 @@
 
 static constexpr std::string_view ReadPath = "/v1/table/read";
 static constexpr std::string_view ScanPath = "/v1/table/scan";
+static constexpr std::string_view WatchPath = "/v1/table/watch";
 static constexpr std::string_view TransactionPath = "/v1/table/transaction";
 static constexpr std::string_view ObjectPathPrefix = "/v1/objects/";
 
@@ -17,6 +18,7 @@
 static constexpr unsigned StatusBadRequest = 400;
 static constexpr unsigned StatusNotFound = 404;
 static constexpr unsigned StatusConflict = 409;
+static constexpr unsigned StatusGone = 410;
 static constexpr unsigned StatusUnavailable = 503;
 
 /// A body may hold at most this many items, so that a short body cannot announce a huge array.
@@ -79,6 +81,21 @@
     }
 }
 
+static void packContent(Packer &packer, const WatchRows &request)
+{
+    packer.pack_array(3);
+    packText(packer, request.prefix);
+    packer.pack_uint64(request.afterRevision);
+    packer.pack_uint64(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(request.wait).count()));
+}
+
+static void packContent(Packer &packer, const RowsChanged &response)
+{
+    packer.pack_array(2);
+    packRows(packer, response.rows);
+    packer.pack_uint64(response.revision);
+}
+
 static void packContent(Packer &packer, const Rows &response)
 {
     packRows(packer, response.rows);
@@ -156,6 +173,9 @@
                           [](const PutObject &content) {
                               return PlatformHttpRequest {"PUT", objectPath(content.name), content.content};
                           },
+                          [](const WatchRows &content) {
+                              return PlatformHttpRequest {"POST", std::string(WatchPath), packed(content)};
+                          },
                       },
         request);
 }
@@ -178,6 +198,12 @@
                           [](const ObjectMissing &) {
                               return PlatformHttpAnswer {StatusNotFound, packed(Error {ErrorCode::PlatformObjectMissing, {}})};
                           },
+                          [](const RowsChanged &content) {
+                              return PlatformHttpAnswer {StatusOk, packed(content)};
+                          },
+                          [](const HistoryGone &) {
+                              return PlatformHttpAnswer {StatusGone, {}};
+                          },
                           [](const PlatformFailure &content) {
                               return PlatformHttpAnswer {errorCodeInfo(content.error.code).httpStatus, packed(content.error)};
                           },
@@ -263,6 +289,20 @@
     return request;
 }
 
+WatchRows watchOf(const msgpack::object &object)
+{
+    constexpr std::uint64_t MaximumWaitMs = 60'000;
+    const auto fields = itemsOf(object, 3);
+    const auto wait = std::chrono::milliseconds(static_cast<std::int64_t>(std::min(numberOf(fields[2]), MaximumWaitMs)));
+    return {textOf(fields[0]), numberOf(fields[1]), wait};
+}
+
+RowsChanged changesOf(const msgpack::object &object)
+{
+    const auto fields = itemsOf(object, 2);
+    return {rowsOf(fields[0]), numberOf(fields[1])};
+}
+
 Committed committedOf(const msgpack::object &object)
 {
     return {numberOf(itemsOf(object, 1)[0])};
@@ -308,13 +348,16 @@
         if (request.path == ScanPath) {
             return scanOf(object);
         }
+        if (request.path == WatchPath) {
+            return watchOf(object);
+        }
         return transactionOf(object);
     });
 }
 
 Result<PlatformRequest> tryDecodePlatformRequest(const PlatformHttpRequest &request)
 {
-    const bool isTable = request.path == ReadPath || request.path == ScanPath || request.path == TransactionPath;
+    const bool isTable = request.path == ReadPath || request.path == ScanPath || request.path == WatchPath || request.path == TransactionPath;
     if (isTable && request.method == "POST") {
         return tryDecodeTableRequest(request);
     }
@@ -361,6 +404,10 @@
     if (std::holds_alternative<GetObject>(request)) {
         return ObjectContent {std::string(body)};
     }
+    if (std::holds_alternative<WatchRows>(request)) {
+        Result<RowsChanged> changes = tryUnpack(body, ErrorCode::PlatformMalformedAnswer, changesOf);
+        return isError(changes) ? Result<PlatformResponse>(errorOf(changes)) : Result<PlatformResponse>(valueOf(std::move(changes)));
+    }
     if (!isWrite(request)) {
         return tryDecodeRows(request, body);
     }
@@ -408,6 +455,9 @@
     if (status == StatusUnavailable) {
         return PlatformFailure {{ErrorCode::PlatformUnavailable, "HTTP status 503"}};
     }
+    if (status == StatusGone && std::holds_alternative<WatchRows>(request)) {
+        return HistoryGone {};
+    }
     if (status == StatusConflict && std::holds_alternative<Transaction>(request)) {
         return tryDecodeConflict(body);
     }
--- a/Libraries/LibPlatform/PlatformCodec.h
+++ b/Libraries/LibPlatform/PlatformCodec.h
@@ -14,6 +14,7 @@
 //   POST /v1/table/read          [key, ...]                                        200 [[key, revision, value], ...]
 //   POST /v1/table/scan          [prefix, startAfter, limit]                       200 [[key, revision, value], ...]
 //   POST /v1/table/transaction   [[[key, revision], ...], [[key, value or nil], ...]]  200 [revision], 409 [[key, revision, value], ...]
+//   POST /v1/table/watch         [prefix, afterRevision, waitMs]                   200 [[[key, revision, value], ...], revision]
 //   GET  /v1/objects/<name>                                                        200 content, 404 failure
 //   PUT  /v1/objects/<name>      content                                           200 [revision]
 //
--- a/Libraries/LibPlatform/PlatformHttpService.cpp
+++ b/Libraries/LibPlatform/PlatformHttpService.cpp
@@ -220,6 +220,7 @@
                    [&](const Transaction &) { ++m_counters.transactions; },
                    [&](const GetObject &) { ++m_counters.objectsRead; },
                    [&](const PutObject &) { ++m_counters.objectsWritten; },
+                   [&](const WatchRows &) { ++m_counters.reads; },
                },
         request);
 }
--- a/Libraries/LibPlatform/PlatformRequest.h
+++ b/Libraries/LibPlatform/PlatformRequest.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibCore/Clock.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -54,8 +56,17 @@
     std::string content;
 };
 
+/// Waits until rows whose key begins with \a prefix have changed after a revision.
+struct WatchRows
+{
+    std::string prefix;
+    std::uint64_t afterRevision = 0;
+    /// The answer comes after this time at the latest, without rows where nothing changed.
+    Duration wait {0};
+};
+
 /// A call to the platform's table or object store.
-using PlatformRequest = std::variant<ReadRows, ScanRows, Transaction, GetObject, PutObject>;
+using PlatformRequest = std::variant<ReadRows, ScanRows, Transaction, GetObject, PutObject, WatchRows>;
 
 /// Whether \a request can change the table or the object store.
 bool isWrite(const PlatformRequest &request);
--- a/Libraries/LibPlatform/PlatformResponse.h
+++ b/Libraries/LibPlatform/PlatformResponse.h
@@ -14,8 +14,23 @@
 struct Rows
 {
     std::vector<Row> rows;
+    /// Newest revision of the table at the time of the read, where the platform tells it; a watch continues from here.
+    std::uint64_t revision = 0;
+};
+
+/// Answer to WatchRows.
+struct RowsChanged
+{
+    /// Changed rows in the order of their revisions. Rows that were deleted are left out.
+    std::vector<Row> rows;
+    /// The next watch continues from here.
+    std::uint64_t revision = 0;
 };
 
+/// Answer to WatchRows: the changes after the revision are no longer known; the rows have to be read.
+struct HistoryGone
+{ };
+
 /// The transaction or object write took effect.
 struct Committed
 {
@@ -44,6 +59,6 @@
     Error error;
 };
 
-using PlatformResponse = std::variant<Rows, Committed, Conflict, ObjectContent, ObjectMissing, PlatformFailure>;
+using PlatformResponse = std::variant<Rows, Committed, Conflict, ObjectContent, ObjectMissing, PlatformFailure, RowsChanged, HistoryGone>;
 
 } // namespace Fuchsiastep
--- a/Libraries/LibPlatform/PlatformStore.cpp
+++ b/Libraries/LibPlatform/PlatformStore.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Result.h>
 
+#include <algorithm>
 #include <set>
 
 namespace Fuchsiastep {
@@ -27,6 +28,7 @@
                           [&](const Transaction &content) { return commit(content); },
                           [&](const GetObject &content) { return readObject(content, asOf); },
                           [&](const PutObject &content) { return writeObject(content); },
+                          [&](const WatchRows &content) { return watch(content); },
                       },
         request);
 }
@@ -66,6 +68,19 @@
     return Rows {m_table.scan(request.prefix, request.startAfter, std::min(request.limit, m_limits.rowsPerScan), asOf)};
 }
 
+PlatformResponse PlatformStore::watch(const WatchRows &request) const
+{
+    // FIXME: The stand-in answers at once. A watch that waits needs the HTTP service to keep the request.
+    RowsChanged changes {{}, m_lastRevision};
+    for (Row &row : m_table.scan(request.prefix, {}, m_limits.rowsPerScan, RevisionedRows::Newest)) {
+        if (row.revision > request.afterRevision) {
+            changes.rows.push_back(std::move(row));
+        }
+    }
+    std::sort(changes.rows.begin(), changes.rows.end(), [](const Row &left, const Row &right) { return left.revision < right.revision; });
+    return changes;
+}
+
 std::string_view PlatformStore::problemOf(const Transaction &request) const
 {
     if (request.conditions.size() > m_limits.rowsPerRequest || request.writes.size() > m_limits.rowsPerRequest) {
--- a/Libraries/LibPlatform/PlatformStore.h
+++ b/Libraries/LibPlatform/PlatformStore.h
@@ -30,6 +30,7 @@
 private:
     PlatformResponse read(const ReadRows &request, std::uint64_t asOf) const;
     PlatformResponse scan(const ScanRows &request, std::uint64_t asOf) const;
+    PlatformResponse watch(const WatchRows &request) const;
     PlatformResponse commit(const Transaction &request);
     PlatformResponse readObject(const GetObject &request, std::uint64_t asOf) const;
     PlatformResponse writeObject(const PutObject &request);
--- /dev/null
+++ b/Libraries/LibProxy/AnnouncementOrder.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <LibProxy/UpstreamAnnouncement.h>
+
+#include <optional>
+#include <string>
+
+namespace Fuchsiastep {
+
+/// Decides which announcements are news. Announcements may arrive seconds late, also those of an earlier start of the
+/// upstream, and one that says "ready" must not bring back an upstream that has said that it leaves.
+class AnnouncementOrder
+{
+public:
+    /// False for an announcement that is older than what is known. Marks an announcement as draining where its start has
+    /// announced before that it leaves.
+    bool accept(UpstreamAnnouncement &announcement);
+    /// The upstream leaves. False where the start that leaves is not the current one.
+    bool acceptDeparture(const std::string &upstreamId, const std::optional<UpstreamLifetime> &lifetime);
+
+private:
+    struct Start
+    {
+        std::string upstreamId;
+        UpstreamLifetime lifetime;
+        bool isLeaving = false;
+    };
+
+    std::optional<Start> m_current;
+};
+
+} // namespace Fuchsiastep
--- a/Libraries/LibProxy/CallParser.h
+++ b/Libraries/LibProxy/CallParser.h
@@ -9,12 +9,16 @@
 
 namespace Fuchsiastep {
 
-/// A well-formed call from a caller: /v1/call/<service>/<path>.
+/// A well-formed call from a caller.
 struct Call
 {
     std::uint64_t token = 0;
     std::string caller;
+    /// Empty for a call that names its route by host and path.
     std::string service;
+    std::string host;
+    /// The caller's id of the request, for logs; empty where it gave none.
+    std::string traceId;
     std::string method;
     /// Path and query behind the service, beginning with '/'.
     std::string path;
@@ -35,9 +39,11 @@
     HeaderList headers;
     std::string body;
     std::uint32_t tries = 0;
+    /// When a request that was not run is likely to find room.
+    std::optional<Duration> retryAfter;
 };
 
-/// Fails with RequestMalformed, CallerNotAllowed or BodyTooLarge.
+/// Reads /v1/call/<service>/<path>. Fails with RequestMalformed, CallerNotAllowed or the rejection of the request.
 Result<Call> tryParseCall(HttpRequest request);
 
 /// The HTTP form of an answer: the upstream's own for an answered call, else a JSON body that names the code.
--- a/Libraries/LibProxy/ConfigurationTask.cpp
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -34,6 +34,7 @@
 }
 
 ConfigurationTask::ConfigurationTask(const ProxySettings &settings,
+    const EdgeProtocol &protocol,
     const MembershipTable &table,
     const Clock &clock,
     Random &random,
@@ -42,6 +43,7 @@
     PlatformClient &platform,
     EventHandler onEvent)
     : m_settings(settings)
+    , m_protocol(protocol)
     , m_table(table)
     , m_clock(clock)
     , m_random(random)
@@ -57,7 +59,13 @@
         std::visit([this](const auto &content) { handle(content); }, message);
         finishTurn();
     })
-{ }
+{
+    if (!protocol.documentKey.empty()) {
+        DocumentReaderSettings documents;
+        documents.key = protocol.documentKey;
+        m_documents.emplace(std::move(documents), clock, random);
+    }
+}
 
 ConfigurationTask::~ConfigurationTask() = default;
 
@@ -133,6 +141,10 @@
 
 void ConfigurationTask::handle(const ChangeSubmitted &submitted)
 {
+    if (m_documents) {
+        submitted.reply(operatorFailure({ErrorCode::OperatorRequestMalformed, "the configuration is the document " + m_protocol.documentKey}));
+        return;
+    }
     Result<OperatorChange> change = tryParseOperatorChange(submitted.body);
     if (isError(change)) {
         submitted.reply(operatorFailure(errorOf(change)));
@@ -312,8 +324,58 @@
     m_onEvent(ViewChanged {m_view});
 }
 
+void ConfigurationTask::run(std::vector<DocumentReaderOutput> outputs)
+{
+    for (DocumentReaderOutput &output : outputs) {
+        std::visit(Overloaded {
+                       [this](PlatformCall &call) {
+                           callPlatform(std::move(call.request), [this, id = call.id](const PlatformResponse &response) {
+                               setPlatformReadable(!std::holds_alternative<PlatformFailure>(response));
+                               run(m_documents->handle(PlatformReply {id, response}));
+                           });
+                       },
+                       [this](const DocumentFound &found) { adoptDocument(found); },
+                       [](const DocumentMissing &) { logEvent(LogEvent::DocumentMissing); },
+                       [this](const DocumentFailure &failure) {
+                           m_metrics.count("fuchsiastep_reader_failures_total");
+                           logEvent(LogEvent::PlatformCallFailed, {{"error", describe(failure.error)}});
+                       },
+                   },
+            output);
+    }
+}
+
+void ConfigurationTask::adoptDocument(const DocumentFound &found)
+{
+    const Result<ConfigurationDocument> document = m_protocol.tryReadDocument(found.content);
+    if (isError(document)) {
+        // Refused whole; the next document replaces it.
+        m_metrics.count("fuchsiastep_configurations_rejected_total");
+        logEvent(LogEvent::ConfigurationRejected, {{"revision", found.revision}, {"error", describe(errorOf(document))}});
+        return;
+    }
+    const ConfigurationVersion version = valueOf(document).version;
+    if (version > m_holder.current()->version()) {
+        const Result<Done> applied =
+            m_holder.tryApplyDelta(ConfigurationDelta::between(*m_holder.current(), valueOf(document).objects, version));
+        if (isError(applied)) {
+            m_metrics.count("fuchsiastep_configurations_rejected_total");
+            logEvent(LogEvent::ConfigurationRejected, {{"version", version}, {"error", describe(errorOf(applied))}});
+            return;
+        }
+        m_onEvent(CallerLimitsChanged {valueOf(document).callerLimits});
+        m_highestVersionSeen = std::max(m_highestVersionSeen, version);
+        adopt(m_holder.current());
+    }
+    run(m_gate.handle(HeadRead {version}));
+}
+
 void ConfigurationTask::readHead()
 {
+    if (m_documents) {
+        run(m_documents->handle(DocumentWanted {}));
+        return;
+    }
     callPlatform(ReadRows {{std::string(HeadKey)}}, [this](const PlatformResponse &response) {
         const auto *rows = std::get_if<Rows>(&response);
         setPlatformReadable(rows != nullptr);
@@ -407,7 +469,11 @@
 void ConfigurationTask::runDue()
 {
     run(m_distributor.advance());
-    run(m_reader.advance());
+    if (m_documents) {
+        run(m_documents->advance());
+    } else {
+        run(m_reader.advance());
+    }
     run(m_gate.advance());
     std::vector<std::uint64_t> ids;
     for (const auto &[id, change] : m_changes) {
@@ -421,8 +487,11 @@
 
 void ConfigurationTask::finishTurn()
 {
-    updateReaderRole();
-    std::optional<TimePoint> next = earliestDeadline({m_distributor.nextDeadline(), m_reader.nextDeadline(), m_gate.nextDeadline()});
+    if (!m_documents) {
+        updateReaderRole();
+    }
+    const std::optional<TimePoint> nextRead = m_documents ? m_documents->nextDeadline() : m_reader.nextDeadline();
+    std::optional<TimePoint> next = earliestDeadline({m_distributor.nextDeadline(), nextRead, m_gate.nextDeadline()});
     for (const auto &[id, change] : m_changes) {
         next = earliestDeadline({next, change->committer.nextDeadline()});
     }
--- a/Libraries/LibProxy/ConfigurationTask.h
+++ b/Libraries/LibProxy/ConfigurationTask.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -46,7 +47,7 @@
     VersionStamp held;
 };
 
-using ConfigurationTaskEvent = std::variant<ViewChanged, UpstreamGone, ReadinessChanged, VersionHeld>;
+using ConfigurationTaskEvent = std::variant<ViewChanged, UpstreamGone, ReadinessChanged, VersionHeld, CallerLimitsChanged>;
 
 /// Keeps the view current: it owns the configuration in force, the reader of the platform, the distribution between
 /// proxies, the gate that keeps a new proxy from serving too early, and the operators' changes in progress.
@@ -55,7 +56,9 @@
 public:
     using EventHandler = std::function<void(ConfigurationTaskEvent event)>;
 
+    /// \a protocol outlives the task.
     ConfigurationTask(const ProxySettings &settings,
+        const EdgeProtocol &protocol,
         const MembershipTable &table,
         const Clock &clock,
         Random &random,
@@ -88,6 +91,8 @@
     void run(std::vector<DistributorOutput> outputs);
     void run(std::vector<ConfigurationReaderOutput> outputs);
     void run(std::vector<StartupGateOutput> outputs);
+    void run(std::vector<DocumentReaderOutput> outputs);
+    void adoptDocument(const DocumentFound &found);
     void run(std::uint64_t changeId, std::vector<ChangeCommitterOutput> outputs);
 
     void countServices(const EndpointsChanged &change);
@@ -104,6 +109,7 @@
     void finishTurn();
 
     const ProxySettings &m_settings;
+    const EdgeProtocol &m_protocol;
     const MembershipTable &m_table;
     const Clock &m_clock;
     Random &m_random;
@@ -118,6 +124,8 @@
     std::map<std::string, std::size_t> m_serviceSizes;
     Distributor m_distributor;
     ConfigurationReader m_reader;
+    /// Set where operators write one document instead of changes through the proxies; the reader of changes is idle then.
+    std::optional<DocumentReader> m_documents;
     StartupGate m_gate;
     ReaderRole m_role;
     std::uint64_t m_roleRevision = 0;
--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -1,233 +1,294 @@
 #include <LibProxy/HttpServer.h>
 
-#include <LibProxy/SoupSupport.h>
+#include <algorithm>
+#include <deque>
+#include <utility>
 
 namespace Fuchsiastep {
 
-/// Bytes beyond the limit that are read and dropped, so that most clients see the answer that refuses their body.
-static constexpr std::uint64_t MaximumIgnoredBytes = 16 * 1024 * 1024;
-/// Counts the body bytes of a message that have arrived.
-static constexpr const char *ReceivedMark = "fuchsiastep-received";
-/// Marks a message whose body was larger than the limit.
-static constexpr const char *TooLargeMark = "fuchsiastep-too-large";
-
-/// The peer closed a readable socket, where it sent no more data.
-static bool isClosed(GSocket *socket)
-{
-    char byte = 0;
-    GInputVector vector {&byte, 1};
-    gint flags = G_SOCKET_MSG_PEEK;
-    GError *error = nullptr;
-    const gssize count = g_socket_receive_message(socket, nullptr, &vector, 1, nullptr, nullptr, &flags, nullptr, &error);
-    const bool isBroken = error != nullptr && !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
-    g_clear_error(&error);
-    return count == 0 || isBroken;
-}
-
-/// Closes a connection that waits for its next request when the client closes it. libsoup 3.2 reads the end of such a
-/// connection and then keeps its descriptor open.
-static void closeWithClient(GSocket *socket)
-{
-    GSource *source = g_socket_create_source(socket, G_IO_IN, nullptr);
-    const GSocketSourceFunc onReadable = [](GSocket *readable, GIOCondition, gpointer) -> gboolean {
-        if (isClosed(readable)) {
-            g_socket_close(readable, nullptr);
-        }
-        return G_SOURCE_REMOVE;
-    };
-    g_source_set_callback(source, G_SOURCE_FUNC(onReadable), nullptr, nullptr);
-    g_source_attach(source, nullptr);
-    g_source_unref(source);
-}
+/// Requests of one connection that are handled side by side; further ones wait in the parser.
+static constexpr std::size_t MaximumPipelined = 32;
+/// Time that a client has to notice the end of its connection before the socket is closed.
+static constexpr Duration LingerTime = std::chrono::seconds(2);
+static constexpr Duration SweepInterval = std::chrono::milliseconds(250);
+static constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 struct HttpServer::Exchange
 {
-    HttpServer *server = nullptr;
     std::uint64_t token = 0;
-    SoupServerMessage *message = nullptr;
-    /// Tells when the client closes. libsoup does not look at the connection of a paused message.
-    GSource *watch = nullptr;
-    bool isAnswered = false;
-
-    ~Exchange()
-    {
-        stopWatching();
-        g_signal_handlers_disconnect_by_data(message, this);
-        g_object_unref(message);
-    }
-
-    void startWatching()
-    {
-        GSocket *socket = soup_server_message_get_socket(message);
-        if (socket == nullptr) {
-            return;
-        }
-        watch = g_socket_create_source(socket, G_IO_IN, nullptr);
-        const GSocketSourceFunc onReadable = [](GSocket *readable, GIOCondition, gpointer data) -> gboolean {
-            auto *self = static_cast<Exchange *>(data);
-            if (isClosed(readable)) {
-                self->server->abandon(self->token);
-            } else {
-                // The client sent its next request already; it stays in the socket until this one is answered.
-                self->stopWatching();
-            }
-            return G_SOURCE_REMOVE;
-        };
-        g_source_set_callback(watch, G_SOURCE_FUNC(onReadable), this, nullptr);
-        g_source_attach(watch, nullptr);
-    }
-
-    void stopWatching()
-    {
-        if (watch != nullptr) {
-            g_source_destroy(watch);
-            g_source_unref(watch);
-            watch = nullptr;
-        }
-    }
+    bool isHead = false;
+    /// The client or the server ends the connection after this answer.
+    bool isLast = false;
+    std::optional<HttpMessage> answer;
 };
 
-HttpServer::HttpServer(std::uint64_t maximumBodyBytes, EventHandler onEvent)
-    : m_maximumBodyBytes(maximumBodyBytes)
-    , m_onEvent(std::move(onEvent))
-    // Paths stay escaped: a decoded '/' or '?' would name another resource of the upstream.
-    , m_server(soup_server_new("server-header", "fuchsiastep", "raw-paths", TRUE, nullptr))
+struct HttpServer::Connection
 {
-    soup_server_add_early_handler(m_server, nullptr, &HttpServer::handleHeaders, this, nullptr);
-    soup_server_add_handler(m_server, nullptr, &HttpServer::handleRequest, this, nullptr);
-}
+    std::uint64_t id = 0;
+    std::unique_ptr<TcpStream> stream;
+    HttpParser parser;
+    HttpServerLimits limits;
+    std::deque<Exchange> exchanges;
+    TimePoint lastByteAt;
+    /// When the first byte of the current request arrived.
+    std::optional<TimePoint> startedAt;
+    /// Nothing more is read as a request; the connection ends at this time.
+    std::optional<TimePoint> closesAt;
+    bool isReadingDone = false;
+    /// Bytes that arrived and are no whole request yet.
+    std::size_t unparsedBytes = 0;
 
-HttpServer::~HttpServer()
+    explicit Connection(const HttpServerLimits &wanted) : parser(HttpParser::Kind::Request, wanted.sizes), limits(wanted)
+    { }
+};
+
+HttpServer::HttpServer(std::uint64_t maximumBodyBytes, EventHandler onEvent)
+    : m_onEvent(std::move(onEvent)), m_sweepTimer(m_clock, [this] { sweep(); })
 {
-    m_exchanges.clear();
-    soup_server_disconnect(m_server);
-    g_object_unref(m_server);
+    m_limits.sizes.bodyBytes = maximumBodyBytes;
 }
 
+HttpServer::~HttpServer() = default;
+
 Result<Done> HttpServer::tryListen(const SocketAddress &address)
 {
-    const Result<SocketAddress> listening = tryListenHttp(m_server, address);
-    if (isError(listening)) {
-        return errorOf(listening);
+    Result<std::unique_ptr<TcpListener>> listener = TcpListener::tryListen(address, [this](GSocket *socket) { accept(socket); });
+    if (isError(listener)) {
+        return errorOf(listener);
     }
-    m_address = valueOf(listening);
+    m_listeners.push_back(valueOf(std::move(listener)));
     return Done {};
 }
 
 SocketAddress HttpServer::address() const
 {
-    return m_address;
+    return m_listeners.empty() ? SocketAddress() : m_listeners.front()->address();
 }
 
-std::size_t HttpServer::requestsOpen() const
+void HttpServer::setLimits(const HttpServerLimits &limits)
+{
+    m_limits = limits;
+}
+
+void HttpServer::accept(GSocket *socket)
 {
-    return m_exchanges.size();
+    const std::uint64_t id = m_nextConnectionId++;
+    auto connection = std::make_unique<Connection>(m_limits);
+    connection->id = id;
+    connection->lastByteAt = m_clock.now();
+    connection->stream = TcpStream::adopt(
+        socket,
+        [this, id](std::string_view bytes) { receive(*m_connections.at(id), bytes); },
+        [this, id](const StreamEnd &) { abandon(id); });
+    connection->stream->setFlushedHandler([this, id] {
+        const auto found = m_connections.find(id);
+        if (found != m_connections.end()) {
+            writeAnswers(*found->second);
+        }
+    });
+    m_connections[id] = std::move(connection);
+    scheduleSweep();
 }
 
-void HttpServer::handleHeaders(SoupServer *, SoupServerMessage *message, const char *, GHashTable *, gpointer data)
+void HttpServer::receive(Connection &connection, std::string_view bytes)
 {
-    // The body is counted while it arrives, so that neither a false length nor a chunked body fills the memory.
-    const auto onChunk = +[](SoupServerMessage *chunked, GBytes *chunk, gpointer owner) {
-        SoupMessageBody *body = soup_server_message_get_request_body(chunked);
-        const std::uint64_t limit = static_cast<HttpServer *>(owner)->m_maximumBodyBytes;
-        const std::size_t received = GPOINTER_TO_SIZE(g_object_get_data(G_OBJECT(chunked), ReceivedMark)) + g_bytes_get_size(chunk);
-        g_object_set_data(G_OBJECT(chunked), ReceivedMark, GSIZE_TO_POINTER(received));
-        if (received > limit) {
-            soup_message_body_set_accumulate(body, FALSE);
-            g_object_set_data(G_OBJECT(chunked), TooLargeMark, chunked);
+    connection.lastByteAt = m_clock.now();
+    if (connection.isReadingDone) {
+        return;
+    }
+    connection.unparsedBytes += bytes.size();
+    connection.parser.append(bytes);
+    parse(connection);
+}
+
+void HttpServer::parse(Connection &connection)
+{
+    const std::uint64_t id = connection.id;
+    while (!connection.isReadingDone && connection.exchanges.size() < MaximumPipelined) {
+        Result<std::optional<HttpMessage>> next = connection.parser.tryNext();
+        if (isError(next)) {
+            reject(connection, errorOf(next).code);
+            return;
         }
-        // A client that sends on and on would never see the answer that refuses its body.
-        if (received > limit + MaximumIgnoredBytes) {
-            GSocket *socket = soup_server_message_get_socket(chunked);
-            if (socket != nullptr) {
-                g_socket_shutdown(socket, TRUE, TRUE, nullptr);
-            }
+        std::optional<HttpMessage> message = valueOf(std::move(next));
+        if (!message) {
+            break;
         }
-    };
-    g_signal_connect(message, "got-chunk", G_CALLBACK(onChunk), data);
+        connection.startedAt.reset();
+        connection.unparsedBytes = 0;
+        open(connection, std::move(*message), ErrorCode::None);
+        // The owner may have ended the connection while it handled the request.
+        if (!m_connections.contains(id)) {
+            return;
+        }
+    }
+    if (connection.isReadingDone) {
+        return;
+    }
+    if (connection.parser.takeContinueWish()) {
+        connection.stream->send(std::string(ContinueResponse));
+    }
+    if (!connection.parser.isBetweenMessages() && !connection.startedAt) {
+        connection.startedAt = m_clock.now();
+    }
+    if (connection.unparsedBytes > connection.limits.sizes.headBytes + 2 * connection.limits.sizes.bodyBytes) {
+        // A client that pipelines without reading its answers would fill the memory.
+        reject(connection, ErrorCode::BodyTooLarge);
+    }
 }
 
-void HttpServer::handleRequest(SoupServer *, SoupServerMessage *message, const char *path, GHashTable *, gpointer data)
+void HttpServer::reject(Connection &connection, ErrorCode reason)
 {
-    static_cast<HttpServer *>(data)->receive(message, path);
+    connection.isReadingDone = true;
+    HttpMessage message;
+    message.isLast = true;
+    open(connection, std::move(message), reason);
 }
 
-void HttpServer::receive(SoupServerMessage *message, const char *path)
+void HttpServer::open(Connection &connection, HttpMessage message, ErrorCode rejection)
 {
     HttpRequest request;
     request.token = m_nextToken++;
-    request.method = soup_server_message_get_method(message);
-    request.path = path;
-    const char *query = g_uri_get_query(soup_server_message_get_uri(message));
-    request.query = query != nullptr ? query : "";
-    request.headers = readHeaders(soup_server_message_get_request_headers(message));
-    if (g_object_get_data(G_OBJECT(message), TooLargeMark) != nullptr) {
-        request.rejection = ErrorCode::BodyTooLarge;
-    } else {
-        request.body = requestBody(message);
-    }
-
-    auto exchange = std::make_unique<Exchange>();
-    exchange->server = this;
-    exchange->token = request.token;
-    exchange->message = SOUP_SERVER_MESSAGE(g_object_ref(message));
-    const auto onEnd = +[](SoupServerMessage *, gpointer ended) {
-        const auto *self = static_cast<Exchange *>(ended);
-        self->server->finish(self->token);
-    };
-    g_signal_connect(message, "finished", G_CALLBACK(onEnd), exchange.get());
-    g_signal_connect(message, "disconnected", G_CALLBACK(onEnd), exchange.get());
-    m_exchanges[request.token] = std::move(exchange);
-    soup_server_message_pause(message);
-    m_exchanges[request.token]->startWatching();
+    request.rejection = rejection;
+    request.method = std::move(message.method);
+    const std::size_t query = message.target.find('?');
+    request.path = message.target.substr(0, query);
+    request.query = query == std::string::npos ? std::string() : message.target.substr(query + 1);
+    request.target = std::move(message.target);
+    request.headers = std::move(message.headers);
+    request.body = std::move(message.body);
+    connection.exchanges.push_back({request.token, request.method == "HEAD", message.isLast, std::nullopt});
+    connection.isReadingDone = connection.isReadingDone || message.isLast;
+    m_connectionOfToken[request.token] = connection.id;
     m_onEvent(std::move(request));
 }
 
 void HttpServer::answer(const HttpAnswer &answer)
 {
-    const auto found = m_exchanges.find(answer.token);
-    if (found == m_exchanges.end() || found->second->isAnswered) {
+    const auto known = m_connectionOfToken.find(answer.token);
+    if (known == m_connectionOfToken.end()) {
         return;
     }
-    found->second->isAnswered = true;
-    found->second->stopWatching();
-    SoupServerMessage *message = found->second->message;
-    SoupMessageHeaders *headers = soup_server_message_get_response_headers(message);
-    writeHeaders(headers, answer.headers);
-    soup_server_message_set_status(message, answer.status, nullptr);
-    soup_message_body_append(soup_server_message_get_response_body(message), SOUP_MEMORY_COPY, answer.body.data(), answer.body.size());
-    soup_message_headers_set_content_length(headers, static_cast<goffset>(answer.body.size()));
-    soup_server_message_unpause(message);
+    Connection &connection = *m_connections.at(known->second);
+    const auto exchange = std::find_if(connection.exchanges.begin(), connection.exchanges.end(), [&](const Exchange &candidate) {
+        return candidate.token == answer.token;
+    });
+    if (exchange == connection.exchanges.end() || exchange->answer) {
+        return;
+    }
+    HttpMessage message;
+    message.status = answer.status;
+    message.headers = answer.headers;
+    message.body = answer.body;
+    exchange->answer = std::move(message);
+    writeAnswers(connection);
 }
 
-void HttpServer::abandon(std::uint64_t token)
+void HttpServer::writeAnswers(Connection &connection)
 {
-    const auto found = m_exchanges.find(token);
-    if (found == m_exchanges.end()) {
+    const std::size_t openBefore = connection.exchanges.size();
+    while (!connection.exchanges.empty() && connection.exchanges.front().answer && connection.stream->bytesQueued() == 0
+        && !connection.closesAt) {
+        Exchange &exchange = connection.exchanges.front();
+        const bool isLast = exchange.isLast || m_isClosing;
+        exchange.answer->isLast = isLast;
+        connection.stream->send(serializeResponse(*exchange.answer, exchange.isHead));
+        if (isLast) {
+            connection.isReadingDone = true;
+            connection.closesAt = m_clock.now() + LingerTime;
+            connection.stream->finishSending();
+        }
+        m_connectionOfToken.erase(exchange.token);
+        connection.exchanges.pop_front();
+    }
+    if (connection.closesAt && !connection.exchanges.empty()) {
+        // Requests behind the last answer get none; their client sends them again on another connection.
+        for (const Exchange &exchange : std::exchange(connection.exchanges, {})) {
+            m_connectionOfToken.erase(exchange.token);
+            m_onEvent(HttpRequestAbandoned {exchange.token});
+        }
         return;
     }
-    // libsoup frees the connection when the write of an answer fails.
-    SoupServerMessage *message = SOUP_SERVER_MESSAGE(g_object_ref(found->second->message));
-    finish(token);
-    soup_server_message_set_status(message, errorCodeInfo(ErrorCode::Cancelled).httpStatus, nullptr);
-    soup_server_message_unpause(message);
-    g_object_unref(message);
+    if (openBefore == MaximumPipelined && connection.exchanges.size() < MaximumPipelined) {
+        parse(connection);
+    }
 }
 
-void HttpServer::finish(std::uint64_t token)
+std::size_t HttpServer::requestsOpen() const
 {
-    const auto found = m_exchanges.find(token);
-    if (found == m_exchanges.end()) {
+    const auto isWriting = [](const auto &entry) {
+        return entry.second->stream->bytesQueued() > 0;
+    };
+    return m_connectionOfToken.size() + static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), isWriting));
+}
+
+void HttpServer::startClosing()
+{
+    m_isClosing = true;
+}
+
+void HttpServer::closeIdleConnections()
+{
+    for (auto &[id, connection] : m_connections) {
+        if (connection->exchanges.empty() && !connection->closesAt && connection->parser.isBetweenMessages()) {
+            connection->isReadingDone = true;
+            connection->closesAt = m_clock.now() + LingerTime;
+            connection->stream->finishSending();
+        }
+    }
+}
+
+void HttpServer::abandon(std::uint64_t connectionId)
+{
+    const auto found = m_connections.find(connectionId);
+    if (found == m_connections.end()) {
         return;
     }
-    const std::unique_ptr<Exchange> exchange = std::move(found->second);
-    m_exchanges.erase(found);
-    GSocket *socket = soup_server_message_get_socket(exchange->message);
-    if (socket != nullptr && !g_socket_is_closed(socket)) {
-        closeWithClient(socket);
+    const std::unique_ptr<Connection> connection = std::move(found->second);
+    m_connections.erase(found);
+    for (const Exchange &exchange : connection->exchanges) {
+        m_connectionOfToken.erase(exchange.token);
+        m_onEvent(HttpRequestAbandoned {exchange.token});
+    }
+}
+
+bool HttpServer::isOverdue(const Connection &connection) const
+{
+    const TimePoint now = m_clock.now();
+    if (connection.closesAt) {
+        return now >= *connection.closesAt;
+    }
+    return connection.exchanges.empty() && connection.stream->bytesQueued() == 0
+        && now >= connection.lastByteAt + connection.limits.idleTime;
+}
+
+void HttpServer::sweep()
+{
+    m_isSweepScheduled = false;
+    std::vector<std::uint64_t> overdue;
+    std::vector<Connection *> slow;
+    for (const auto &[id, connection] : m_connections) {
+        if (isOverdue(*connection)) {
+            overdue.push_back(id);
+        } else if (!connection->isReadingDone && connection->startedAt && !connection->parser.hasHead()
+            && m_clock.now() >= *connection->startedAt + connection->limits.headTime) {
+            slow.push_back(connection.get());
+        }
+    }
+    for (Connection *connection : slow) {
+        reject(*connection, ErrorCode::HeadTimeout);
     }
-    if (!exchange->isAnswered) {
-        m_onEvent(HttpRequestAbandoned {token});
+    for (const std::uint64_t id : overdue) {
+        abandon(id);
+    }
+    scheduleSweep();
+}
+
+void HttpServer::scheduleSweep()
+{
+    if (!m_isSweepScheduled && !m_connections.empty()) {
+        m_isSweepScheduled = true;
+        m_sweepTimer.setDeadline(m_clock.now() + SweepInterval);
     }
 }
 
--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <LibCore/LibCore.h>
-#include <LibWire/HeaderList.h>
-
-#include <libsoup/soup.h>
+#include <LibHttp/LibHttp.h>
+#include <LibProxy/Timer.h>
+#include <LibWire/LibWire.h>
 
 #include <cstdint>
 #include <functional>
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace Fuchsiastep {
 
@@ -24,8 +25,10 @@
     std::string query;
     HeaderList headers;
     std::string body;
-    /// ErrorCode::BodyTooLarge where the body was larger than the limit and was not kept.
+    /// Why the request cannot be taken; the rest is not known then. RequestMalformed, HeadTooLarge, HeadTimeout or BodyTooLarge.
     ErrorCode rejection = ErrorCode::None;
+    /// Path and query byte for byte as the client sent them.
+    std::string target;
 };
 
 /// The client closed its connection before its answer was complete.
@@ -44,7 +47,20 @@
     std::string body;
 };
 
-/// An HTTP server by libsoup. It owns its listening socket and the requests that wait for an answer.
+/// What clients may send, and how long they may take.
+struct HttpServerLimits
+{
+    HttpLimits sizes;
+    /// Time for the head of a request once its first byte has arrived.
+    Duration headTime = std::chrono::seconds(10);
+    /// Time without a byte inside a body, and without a request on a kept connection.
+    Duration idleTime = std::chrono::seconds(60);
+
+    bool operator==(const HttpServerLimits &) const = default;
+};
+
+/// An HTTP/1.1 server. It owns its listening sockets, its connections and the requests that wait for an answer. Requests
+/// that a client sends before it has its answers are handled side by side and answered in their order.
 class HttpServer
 {
 public:
@@ -55,30 +71,51 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
-    /// Fails with ListenFailed.
+    /// May be called for several addresses. Fails with ListenFailed.
     Result<Done> tryListen(const SocketAddress &address);
+    /// The first address with the port in use.
     SocketAddress address() const;
+    /// Applies to connections that are accepted from now on.
+    void setLimits(const HttpServerLimits &limits);
 
     /// Answers a request; has no effect where the client is gone.
     void answer(const HttpAnswer &answer);
     /// Requests that have no answer yet, or whose answer is still being written.
     std::size_t requestsOpen() const;
 
+    /// Each further answer is the last one on its connection. New connections are still accepted.
+    void startClosing();
+    /// Ends connections that have no request open. What a client sent meanwhile is read and dropped, so that it learns of
+    /// the end and not of a reset.
+    void closeIdleConnections();
+
 private:
     struct Exchange;
-
-    static void handleHeaders(SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data);
-    static void handleRequest(SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer data);
-    void receive(SoupServerMessage *message, const char *path);
-    void abandon(std::uint64_t token);
-    void finish(std::uint64_t token);
-
-    std::uint64_t m_maximumBodyBytes;
+    struct Connection;
+
+    void accept(GSocket *socket);
+    void receive(Connection &connection, std::string_view bytes);
+    void parse(Connection &connection);
+    void open(Connection &connection, HttpMessage message, ErrorCode rejection);
+    void writeAnswers(Connection &connection);
+    void abandon(std::uint64_t connectionId);
+    void sweep();
+    bool isOverdue(const Connection &connection) const;
+    void reject(Connection &connection, ErrorCode reason);
+    void scheduleSweep();
+
+    Clock m_clock = Clock::system();
+    HttpServerLimits m_limits;
     EventHandler m_onEvent;
-    SoupServer *m_server;
-    SocketAddress m_address;
+    std::vector<std::unique_ptr<TcpListener>> m_listeners;
     std::uint64_t m_nextToken = 1;
-    std::map<std::uint64_t, std::unique_ptr<Exchange>> m_exchanges;
+    std::uint64_t m_nextConnectionId = 1;
+    bool m_isClosing = false;
+    std::map<std::uint64_t, std::unique_ptr<Connection>> m_connections;
+    /// Connection of each open request.
+    std::map<std::uint64_t, std::uint64_t> m_connectionOfToken;
+    bool m_isSweepScheduled = false;
+    Timer m_sweepTimer;
 };
 
 } // namespace Fuchsiastep
--- a/Libraries/LibProxy/OperatorTask.cpp
+++ b/Libraries/LibProxy/OperatorTask.cpp
@@ -8,7 +8,6 @@
 namespace Fuchsiastep {
 
 static constexpr std::uint64_t MaximumBodyBytes = 8 * 1024 * 1024; // A whole set of declarations at the target size.
-static constexpr Duration SilenceLimit = std::chrono::seconds(3);
 static constexpr std::uint32_t MaximumAuditEntries = 1000;
 
 static std::map<std::string, std::string> parseQuery(const std::string &query)
@@ -33,8 +32,11 @@
     Handler handler;
 };
 
-OperatorTask::OperatorTask(const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent)
-    : m_clock(clock)
+OperatorTask::OperatorTask(
+    const EdgeProtocol &protocol, Duration silenceLimit, const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent)
+    : m_protocol(protocol)
+    , m_silenceLimit(silenceLimit)
+    , m_clock(clock)
     , m_metrics(metrics)
     , m_onEvent(std::move(onEvent))
     , m_server(MaximumBodyBytes, [this](HttpServerEvent event) { handleHttp(std::move(event)); })
@@ -90,6 +92,9 @@
         fail(request.token, {request.rejection, "at most " + std::to_string(MaximumBodyBytes) + " bytes"});
         return;
     }
+    if (dispatchByProtocol(request)) {
+        return;
+    }
     for (const Endpoint &endpoint : Endpoints) {
         if (endpoint.method == request.method && endpoint.path == request.path) {
             (this->*endpoint.handler)(request);
@@ -119,11 +124,60 @@
         fail(request.token, errorOf(announcement));
         return;
     }
-    m_silenceTimer.setDeadline(m_clock.now() + SilenceLimit);
-    m_onEvent(valueOf(announcement));
+    take(valueOf(announcement));
     m_server.answer({request.token, 204, {}, {}});
 }
 
+bool OperatorTask::dispatchByProtocol(const HttpRequest &request)
+{
+    ControlMessage message = m_protocol.readControl(request);
+    return std::visit(Overloaded {
+                          [](std::monostate) { return false; },
+                          [&](const ReadinessWanted &) {
+                              ready(request);
+                              return true;
+                          },
+                          [&](UpstreamAnnouncement &announcement) {
+                              take(std::move(announcement));
+                              answer(request.token, {200, JsonValue::Object {}});
+                              return true;
+                          },
+                          [&](const UpstreamDeparture &departure) {
+                              depart(departure);
+                              answer(request.token, {200, JsonValue::Object {}});
+                              return true;
+                          },
+                          [&](const Error &error) {
+                              fail(request.token, error);
+                              return true;
+                          },
+                      },
+        message);
+}
+
+void OperatorTask::take(UpstreamAnnouncement announcement)
+{
+    if (!m_order.accept(announcement)) {
+        logEvent(LogEvent::AnnouncementIgnored, {{"upstream", announcement.upstreamId}, {"sequence", announcement.lifetime->sequence}});
+        return;
+    }
+    m_silenceTimer.setDeadline(m_clock.now() + m_silenceLimit);
+    m_lastAnnouncement = announcement;
+    m_onEvent(std::move(announcement));
+}
+
+void OperatorTask::depart(const UpstreamDeparture &departure)
+{
+    if (!m_order.acceptDeparture(departure.upstreamId, departure.lifetime)) {
+        logEvent(LogEvent::AnnouncementIgnored, {{"upstream", departure.upstreamId}});
+        return;
+    }
+    if (m_lastAnnouncement && m_lastAnnouncement->upstreamId == departure.upstreamId) {
+        m_lastAnnouncement->isDraining = true;
+        m_onEvent(*m_lastAnnouncement);
+    }
+}
+
 void OperatorTask::status(const HttpRequest &request)
 {
     m_onEvent(WholeStatusWanted {replyTo(request.token)});
--- a/Libraries/LibProxy/OperatorTask.h
+++ b/Libraries/LibProxy/OperatorTask.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibProxy/AnnouncementOrder.h>
+#include <LibProxy/EdgeProtocol.h>
 #include <LibProxy/HttpServer.h>
 #include <LibProxy/Mailbox.h>
 #include <LibProxy/OperatorMessages.h>
@@ -24,7 +26,7 @@
 
 using OperatorTaskMessage = std::variant<ReadyChanged>;
 
-/// The upstream has not announced itself for 3 s.
+/// The upstream has not announced itself for UpstreamSettings::silence.
 struct AnnouncementsEnded
 { };
 
@@ -58,7 +60,8 @@
 public:
     using EventHandler = std::function<void(OperatorTaskEvent event)>;
 
-    OperatorTask(const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent);
+    /// \a protocol outlives the task.
+    OperatorTask(const EdgeProtocol &protocol, Duration silenceLimit, const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent);
     ~OperatorTask();
 
     /// Fails with ListenFailed.
@@ -79,6 +82,9 @@
     void ready(const HttpRequest &request);
     void metrics(const HttpRequest &request);
     void announce(const HttpRequest &request);
+    bool dispatchByProtocol(const HttpRequest &request);
+    void take(UpstreamAnnouncement announcement);
+    void depart(const UpstreamDeparture &departure);
     void status(const HttpRequest &request);
     void members(const HttpRequest &request);
     void objects(const HttpRequest &request);
@@ -91,6 +97,10 @@
     void answer(std::uint64_t token, const OperatorReply &reply);
     OperatorReplyHandler replyTo(std::uint64_t token);
 
+    const EdgeProtocol &m_protocol;
+    Duration m_silenceLimit;
+    AnnouncementOrder m_order;
+    std::optional<UpstreamAnnouncement> m_lastAnnouncement;
     const Clock &m_clock;
     MetricsRegistry &m_metrics;
     EventHandler m_onEvent;
--- a/Libraries/LibProxy/PeerLinks.cpp
+++ b/Libraries/LibProxy/PeerLinks.cpp
@@ -44,7 +44,7 @@
 
 Result<Done> PeerLinks::tryListen(const SocketAddress &address)
 {
-    Result<std::unique_ptr<PeerListener>> listener = PeerListener::tryListen(address, [this](GSocket *socket) { accept(socket); });
+    Result<std::unique_ptr<TcpListener>> listener = TcpListener::tryListen(address, [this](GSocket *socket) { accept(socket); });
     if (isError(listener)) {
         return errorOf(listener);
     }
--- a/Libraries/LibProxy/PeerLinks.h
+++ b/Libraries/LibProxy/PeerLinks.h
@@ -94,7 +94,7 @@
     const Clock &m_clock;
     MetricsRegistry &m_metrics;
     EventHandler m_onEvent;
-    std::unique_ptr<PeerListener> m_listener;
+    std::unique_ptr<TcpListener> m_listener;
     std::uint64_t m_nextConnectionId = 1;
     std::map<std::uint64_t, std::unique_ptr<Link>> m_links;
     /// Outgoing connections by proxy id, or by address where only that was known when they were opened.
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -6,8 +6,9 @@
 static constexpr Duration LeaveTime = std::chrono::milliseconds(300);
 static constexpr Duration IdleCheckInterval = std::chrono::seconds(30);
 
-ProxyRuntime::ProxyRuntime(ProxySettings settings, std::function<void()> onStopped)
+ProxyRuntime::ProxyRuntime(ProxySettings settings, EdgeProtocol protocol, std::function<void()> onStopped)
     : m_settings(std::move(settings))
+    , m_protocol(std::move(protocol))
     , m_onStopped(std::move(onStopped))
     , m_startedAt(m_clock.now())
     , m_incarnation(static_cast<std::uint64_t>(m_clock.unixMilliseconds()))
@@ -72,19 +73,28 @@
     PlatformClientSettings platform;
     platform.baseUrl = m_settings.platform.url;
     platform.timeout = m_settings.platform.timeout;
+    platform.protocol = m_protocol.platform;
     m_platform = std::make_unique<PlatformClient>(platform);
     m_operators =
-        std::make_unique<OperatorTask>(m_clock, m_metrics, [this](OperatorTaskEvent event) { handleOperators(std::move(event)); });
+        std::make_unique<OperatorTask>(m_protocol, m_settings.upstream.silence(), m_clock, m_metrics, [this](OperatorTaskEvent event) {
+            handleOperators(std::move(event));
+        });
     const Result<Done> control = m_operators->tryListen(m_settings.listen.control);
     if (isError(control)) {
         return errorOf(control);
     }
+    if (m_settings.listen.readiness) {
+        const Result<Done> readiness = m_operators->tryListen(*m_settings.listen.readiness);
+        if (isError(readiness)) {
+            return errorOf(readiness);
+        }
+    }
     const Result<SocketAddress> peers = tryListenPeers();
     if (isError(peers)) {
         return errorOf(peers);
     }
     m_requests = std::make_unique<RequestTask>(
-        m_settings, m_incarnation, m_clock, m_random, m_metrics, *m_links, *m_platform, [this](const RequestTaskEvent &event) {
+        m_settings, m_protocol, m_incarnation, m_clock, m_random, m_metrics, *m_links, *m_platform, [this](const RequestTaskEvent &event) {
             handleRequests(event);
         });
     const Result<Done> callers = m_requests->tryListen(m_settings.listen.callers);
@@ -92,6 +102,7 @@
         return errorOf(callers);
     }
     m_configuration = std::make_unique<ConfigurationTask>(m_settings,
+        m_protocol,
         m_membership->table(),
         m_clock,
         m_random,
@@ -144,7 +155,10 @@
 {
     std::visit(Overloaded {
                    [this](EndpointsChanged &change) { m_configuration->post(std::move(change)); },
-                   [this](const MemberChange &change) { m_configuration->post(change); },
+                   [this](const MemberChange &change) {
+                       m_requests->post(ProxyCountChanged {m_membership->table().livePeers().size() + 1});
+                       m_configuration->post(change);
+                   },
                    [this](const PeerVersion &version) { m_configuration->post(version); },
                    [this](const CrashSuspectLearned &learned) { m_requests->post(SuspectLearned {learned.entry}); },
                    [this](const FreezeDetected &freeze) { m_configuration->post(freeze); },
@@ -158,6 +172,7 @@
     std::visit(Overloaded {
                    [this](const ViewChanged &change) { m_requests->post(change); },
                    [this](const UpstreamGone &gone) { m_requests->post(gone); },
+                   [this](const CallerLimitsChanged &change) { m_requests->post(change); },
                    [this](const ReadinessChanged &change) {
                        m_isReady = change.isReady;
                        m_requests->post(change);
@@ -194,8 +209,8 @@
 void ProxyRuntime::announce(const UpstreamAnnouncement &announcement)
 {
     m_requests->post(announcement);
-    const bool isRestarted = announcement.ageMs < m_lastUpstreamAgeMs;
-    m_lastUpstreamAgeMs = announcement.ageMs;
+    const bool isRestarted = m_lastAnnouncement && announcement.isRestartOf(*m_lastAnnouncement);
+    m_lastAnnouncement = announcement;
 
     Endpoint endpoint;
     endpoint.upstreamId = announcement.upstreamId;
--- a/Libraries/LibProxy/ProxyRuntime.h
+++ b/Libraries/LibProxy/ProxyRuntime.h
@@ -26,7 +26,7 @@
 {
 public:
     /// \a onStopped is called once, when a drain is complete or took too long.
-    ProxyRuntime(ProxySettings settings, std::function<void()> onStopped);
+    ProxyRuntime(ProxySettings settings, EdgeProtocol protocol, std::function<void()> onStopped);
     ~ProxyRuntime();
 
     /// Opens every listener and joins the fleet. Fails with ListenFailed.
@@ -49,6 +49,7 @@
     Result<SocketAddress> tryListenPeers();
 
     ProxySettings m_settings;
+    EdgeProtocol m_protocol;
     std::function<void()> m_onStopped;
     Clock m_clock = Clock::system();
     Random m_random = Random::fromSystem();
@@ -60,7 +61,7 @@
     bool m_hasLeft = false;
     /// What membership was told about the upstream beside this proxy.
     std::optional<Endpoint> m_endpoint;
-    std::uint32_t m_lastUpstreamAgeMs = 0;
+    std::optional<UpstreamAnnouncement> m_lastAnnouncement;
 
     std::unique_ptr<PlatformClient> m_platform;
     std::unique_ptr<PeerLinks> m_links;
--- a/Libraries/LibProxy/ProxySettings.cpp
+++ b/Libraries/LibProxy/ProxySettings.cpp
@@ -1,7 +1,10 @@
 #include <LibProxy/ProxySettings.h>
 
+#include <algorithm>
+#include <array>
 #include <fstream>
 #include <sstream>
+#include <utility>
 
 namespace Fuchsiastep {
 
@@ -24,7 +27,10 @@
         settings.region = name(reader, "region");
         parseListen(reader, settings.listen);
         parsePlatform(reader, settings.platform);
-        parseSeeds(reader, settings.seeds);
+        parseEdge(reader, settings.edge);
+        parseUpstream(reader, settings.upstream);
+        parseRetries(reader, settings.retries);
+        parseSeeds(reader, settings.listen.peers.port, settings.seeds);
         parseDistribution(reader, settings.distribution);
         parseMembership(reader, settings.membership);
         parseLimits(reader, settings.limits);
@@ -82,6 +88,52 @@
         listen.callers = address(reader.pathOf("callers"), reader.requiredString("callers"));
         listen.control = address(reader.pathOf("control"), reader.requiredString("control"));
         listen.peers = address(reader.pathOf("peers"), reader.requiredString("peers"));
+        if (reader.has("readiness")) {
+            listen.readiness = address(reader.pathOf("readiness"), reader.requiredString("readiness"));
+        }
+        reader.finish();
+    }
+
+    void parseEdge(JsonObjectReader &parent, EdgeKind &edge)
+    {
+        static constexpr std::array Names {std::pair {EdgeKind::Native, "native"}, std::pair {EdgeKind::Platform, "platform"}};
+        const std::string text = parent.optionalString("edge", "native");
+        const auto *found = std::find_if(Names.begin(), Names.end(), [&](const auto &entry) { return text == entry.second; });
+        if (found == Names.end()) {
+            report(parent.pathOf("edge"), "must be native or platform");
+            return;
+        }
+        edge = found->first;
+    }
+
+    void parseUpstream(JsonObjectReader &parent, UpstreamSettings &upstream)
+    {
+        const JsonValue *value = parent.optionalValue("upstream");
+        if (value == nullptr) {
+            return;
+        }
+        JsonObjectReader reader(*value, parent.pathOf("upstream"), m_errors);
+        if (reader.has("address")) {
+            upstream.address = address(reader.pathOf("address"), reader.requiredString("address"));
+        }
+        upstream.service = reader.optionalString("service");
+        upstream.heartbeat = milliseconds(reader, "heartbeat_ms", upstream.heartbeat, 100);
+        reader.finish();
+    }
+
+    void parseRetries(JsonObjectReader &parent, std::optional<RetrySettings> &retries)
+    {
+        constexpr double MaximumRatio = 10;
+        constexpr double MaximumSlack = 1e6;
+        const JsonValue *value = parent.optionalValue("retries");
+        if (value == nullptr) {
+            return;
+        }
+        JsonObjectReader reader(*value, parent.pathOf("retries"), m_errors);
+        retries = RetrySettings {};
+        retries->ratio = reader.optionalNumber("ratio", retries->ratio, 0, MaximumRatio);
+        retries->slack = reader.optionalNumber("slack", retries->slack, 0, MaximumSlack);
+        retries->window = milliseconds(reader, "window_ms", retries->window, 100);
         reader.finish();
     }
 
@@ -100,12 +152,17 @@
         reader.finish();
     }
 
-    void parseSeeds(JsonObjectReader &parent, std::vector<SocketAddress> &seeds)
+    void parseSeeds(JsonObjectReader &parent, std::uint16_t peersPort, std::vector<SocketAddress> &seeds)
     {
         std::size_t index = 0;
         for (const std::string &text : parent.optionalStrings("seeds")) {
             seeds.push_back(address(parent.pathOf("seeds") + '[' + std::to_string(index++) + ']', text));
         }
+        // Instances whose peers listen on the same port as this proxy.
+        for (const std::string &text : parent.optionalStrings("seed_hosts")) {
+            const SocketAddress host = address(parent.pathOf("seed_hosts") + '[' + std::to_string(index++) + ']', text);
+            seeds.push_back({host.ip, peersPort});
+        }
     }
 
     void parseDistribution(JsonObjectReader &parent, DistributionSettings &distribution)
@@ -156,6 +213,7 @@
         limits.queuePerSlot = static_cast<std::uint32_t>(reader.optionalInteger("queue_per_slot", limits.queuePerSlot, 0, 1000));
         limits.queueTime = milliseconds(reader, "queue_ms", limits.queueTime, 0);
         limits.drainTime = milliseconds(reader, "drain_ms", limits.drainTime, 0);
+        limits.lingerTime = milliseconds(reader, "linger_ms", limits.lingerTime, 0);
         reader.finish();
     }
 
--- a/Libraries/LibProxy/ProxySettings.h
+++ b/Libraries/LibProxy/ProxySettings.h
@@ -3,6 +3,7 @@
 #include <LibCore/LibCore.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,8 @@
     SocketAddress callers;
     /// Operators, upstream announcements, metrics and readiness.
     SocketAddress control;
+    /// A further address for the same; nothing for none.
+    std::optional<SocketAddress> readiness;
     /// Frames over TCP and probes over UDP, on the same port number.
     SocketAddress peers;
 };
@@ -24,6 +27,40 @@
     Duration timeout = std::chrono::seconds(1);
 };
 
+/// Which protocol callers, the upstream and the platform speak.
+enum class EdgeKind {
+    /// The project's own, as docs/interfaces.md describes it.
+    Native,
+    /// That of the users' platform, through the adapter in platform/.
+    Platform,
+};
+
+/// The upstream that the proxy stands beside.
+struct UpstreamSettings
+{
+    /// The only address that announcements may name; nothing where they may name any.
+    std::optional<SocketAddress> address;
+    /// The service on this instance; empty where callers name themselves.
+    std::string service;
+    /// Time between two of its announcements.
+    Duration heartbeat = std::chrono::seconds(1);
+
+    /// Without an announcement for this long the upstream counts as gone. Announcements may be late by some intervals.
+    Duration silence() const
+    {
+        constexpr int MissedHeartbeats = 3;
+        return heartbeat * MissedHeartbeats;
+    }
+};
+
+/// Retries that all proxies together may make for a service.
+struct RetrySettings
+{
+    double ratio = 0.2;
+    double slack = 0;
+    Duration window = std::chrono::seconds(10);
+};
+
 struct DistributionSettings
 {
     /// How long a reader collects changes before it distributes them together: trades convergence time for control bytes.
@@ -48,6 +85,8 @@
     Duration queueTime = std::chrono::milliseconds(500);
     /// How long a drain waits for requests in flight.
     Duration drainTime = std::chrono::seconds(30);
+    /// How long a draining proxy goes on taking calls, so that its callers have time to go elsewhere.
+    Duration lingerTime {0};
 };
 
 /// The settings file of fuchsiastepd.
@@ -58,6 +97,10 @@
     std::string region;
     ListenSettings listen;
     PlatformSettings platform;
+    EdgeKind edge = EdgeKind::Native;
+    UpstreamSettings upstream;
+    /// Nothing for a budget of each proxy by itself.
+    std::optional<RetrySettings> retries;
     /// Peers to ask when the platform cannot name contacts.
     std::vector<SocketAddress> seeds;
     DistributionSettings distribution;
--- a/Libraries/LibProxy/RequestSettings.cpp
+++ b/Libraries/LibProxy/RequestSettings.cpp
@@ -27,6 +27,15 @@
     return ledger;
 }
 
+RoutingState::Settings routingSettings(const ProxySettings &settings)
+{
+    RoutingState::Settings routing;
+    if (settings.retries) {
+        routing.retries.fleet = RetryBudgets::FleetBudget {settings.retries->ratio, settings.retries->slack, settings.retries->window};
+    }
+    return routing;
+}
+
 UpstreamSelector::Settings selectorSettings(const ProxySettings &settings)
 {
     UpstreamSelector::Settings selector;
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -15,9 +15,11 @@
     TimePoint startedAt;
     /// Empty for a service that is not declared, so that callers cannot add metric series at will.
     std::string service;
+    std::string traceId;
 };
 
 RequestTask::RequestTask(const ProxySettings &settings,
+    const EdgeProtocol &protocol,
     std::uint64_t incarnation,
     const Clock &clock,
     Random &random,
@@ -26,17 +28,18 @@
     PlatformClient &platform,
     EventHandler onEvent)
     : m_settings(settings)
+    , m_protocol(protocol)
     , m_clock(clock)
     , m_metrics(metrics)
     , m_links(links)
     , m_platform(platform)
     , m_onEvent(std::move(onEvent))
-    , m_routing({}, clock, random)
+    , m_routing(routingSettings(settings), clock, random)
     , m_selector(selectorSettings(settings), m_routing, random)
     , m_coordinator(coordinatorSettings(settings.limits), m_routing, m_selector, clock)
     , m_gate(gateSettings(settings.limits), m_routing.suspects, clock)
     , m_ledger(ledgerSettings(settings, incarnation), clock, random)
-    , m_upstreamClient(clock, settings.limits.answerBodyBytes, [this](UpstreamClientEvent event) { handleUpstream(std::move(event)); })
+    , m_upstreamClient(clock, protocol, settings.limits.answerBodyBytes, [this](UpstreamClientEvent event) { handleUpstream(std::move(event)); })
     , m_callers(settings.limits.requestBodyBytes, [this](HttpServerEvent event) { handleCallers(std::move(event)); })
     , m_timer(clock, [this] { runDue(); })
     , m_mailbox([this](RequestTaskMessage message) {
@@ -121,9 +124,9 @@
 
 void RequestTask::handle(const UpstreamAnnouncement &announcement)
 {
-    const bool isRestarted = m_upstream && m_upstream->upstreamId == announcement.upstreamId && announcement.ageMs < m_upstream->ageMs;
-    if (isRestarted) {
+    if (m_upstream && announcement.isRestartOf(*m_upstream)) {
         run(m_gate.handle(UpstreamCrashed {}));
+        m_upstreamClient.closeIdleConnections();
     }
     m_upstream = announcement;
     m_upstreamClient.setUpstream(announcement.address, announcement.connections);
@@ -144,9 +147,28 @@
 void RequestTask::handle(const DrainStarted &)
 {
     m_isDraining = true;
+    m_lingersUntil = m_clock.now() + m_settings.limits.lingerTime;
+    m_callers.startClosing();
     run(m_gate.handle(DrainRequested {}));
 }
 
+bool RequestTask::isLingering() const
+{
+    return m_isDraining && m_clock.now() < m_lingersUntil;
+}
+
+void RequestTask::handle(const CallerLimitsChanged &change)
+{
+    HttpServerLimits limits = change.limits;
+    limits.sizes.bodyBytes = std::min(limits.sizes.bodyBytes, m_settings.limits.requestBodyBytes);
+    m_callers.setLimits(limits);
+}
+
+void RequestTask::handle(const ProxyCountChanged &change)
+{
+    m_routing.retries.setProxyCount(change.count);
+}
+
 void RequestTask::handle(const SuspectLearned &learned)
 {
     m_routing.suspects.merge({learned.entry});
@@ -191,26 +213,30 @@
 void RequestTask::startCall(HttpRequest request)
 {
     const std::uint64_t token = request.token;
-    m_calls[token] = {m_clock.now(), {}};
-    Result<Call> parsed = tryParseCall(std::move(request));
+    m_calls[token] = {m_clock.now(), {}, {}};
+    Result<Call> parsed = m_protocol.tryParseCall(std::move(request));
     if (isError(parsed)) {
         logEvent(LogEvent::HttpRequestRejected, {{"error", describe(errorOf(parsed))}});
         refuseCall(token, errorOf(parsed));
         return;
     }
     Call call = valueOf(std::move(parsed));
-    if (m_isDraining || !m_isReady) {
-        refuseCall(token, {m_isDraining ? ErrorCode::Draining : ErrorCode::NotReady, m_settings.proxyId});
+    m_calls[token].traceId = call.traceId;
+    const bool isDrained = m_isDraining && !isLingering();
+    if (isDrained || !m_isReady) {
+        refuseCall(token, {isDrained ? ErrorCode::Draining : ErrorCode::NotReady, m_settings.proxyId});
         return;
     }
-    const Result<std::shared_ptr<const Route>> route = m_view->tryResolve(call.caller, call.service, call.method, call.path);
+    const Result<std::shared_ptr<const Route>> route = tryResolve(call);
     if (isError(route)) {
         refuseCall(token, errorOf(route));
         return;
     }
+    call.service = valueOf(route)->selector->service;
     m_calls[token].service = call.service;
     CallerRequest accepted;
     accepted.token = token;
+    accepted.traceId = std::move(call.traceId);
     accepted.caller = std::move(call.caller);
     accepted.service = std::move(call.service);
     accepted.method = std::move(call.method);
@@ -223,6 +249,24 @@
     run(m_coordinator.handle(std::move(accepted)));
 }
 
+Result<std::shared_ptr<const Route>> RequestTask::tryResolve(const Call &call)
+{
+    if (!call.service.empty()) {
+        return m_view->tryResolve(call.caller, call.service, call.method, call.path);
+    }
+    const std::string_view path = std::string_view(call.path).substr(0, call.path.find('?'));
+    const Result<std::shared_ptr<const HostRoute>> hostRoute = m_view->tryResolveHost(call.host, path);
+    if (isError(hostRoute)) {
+        return errorOf(hostRoute);
+    }
+    const HostRoutePart &part = valueOf(hostRoute)->parts.at(m_split.next(*valueOf(hostRoute)));
+    std::shared_ptr<const Route> route = m_view->routeOf(part.service, part.selector);
+    if (route == nullptr) {
+        return Error {ErrorCode::ServiceUnknown, part.service};
+    }
+    return route;
+}
+
 void RequestTask::refuseCall(std::uint64_t token, const Error &error)
 {
     CallAnswer answer;
@@ -244,12 +288,12 @@
     m_metrics.observe("fuchsiastep_request_seconds", m_clock.now() - call->second.startedAt);
     if (answer.outcome == RequestOutcome::Unknown) {
         logEvent(LogEvent::RequestUnknown,
-            {{"service", call->second.service}, {"error", describe({answer.code, answer.detail})}, {"tries", answer.tries}});
+            {{"request", call->second.traceId}, {"service", call->second.service}, {"error", describe({answer.code, answer.detail})}, {"tries", answer.tries}});
     } else if (answer.outcome == RequestOutcome::NotRun) {
-        logEvent(LogEvent::RequestRefused, {{"service", call->second.service}, {"error", describe({answer.code, answer.detail})}});
+        logEvent(LogEvent::RequestRefused, {{"request", call->second.traceId}, {"service", call->second.service}, {"error", describe({answer.code, answer.detail})}});
     }
     m_calls.erase(call);
-    m_callers.answer(formatCallAnswer(answer));
+    m_callers.answer(m_protocol.formatAnswer(answer));
 }
 
 void RequestTask::handleUpstream(UpstreamClientEvent event)
@@ -305,7 +349,8 @@
                                end.status,
                                std::move(end.headers),
                                std::move(end.body),
-                               end.tries});
+                               end.tries,
+                               end.retryAfter});
                        },
                    },
             output);
@@ -376,7 +421,7 @@
     std::optional<TimePoint> next = earliestDeadline({m_coordinator.nextDeadline(), m_gate.nextDeadline(), m_ledger.nextDeadline()});
     if (m_isDraining && !m_isDrainReported) {
         const bool isIdle = m_isGateDrained && m_ledger.isIdle() && m_coordinator.inFlight() == 0 && m_callers.requestsOpen() == 0
-            && !m_links.hasQueuedBytes();
+            && !m_links.hasQueuedBytes() && !isLingering();
         if (isIdle) {
             m_isDrainReported = true;
             m_onEvent(RequestsDrained {});
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -4,6 +4,7 @@
 #include <LibMembership/CrashSuspectEntry.h>
 #include <LibPlatform/LibPlatform.h>
 #include <LibProxy/CallParser.h>
+#include <LibProxy/EdgeProtocol.h>
 #include <LibProxy/HttpServer.h>
 #include <LibProxy/Mailbox.h>
 #include <LibProxy/PeerLinks.h>
@@ -58,7 +59,21 @@
     std::size_t remaining = 0;
 };
 
-using RequestTaskMessage = std::variant<ViewChanged,
+/// What callers may send, from the configuration.
+struct CallerLimitsChanged
+{
+    HttpServerLimits limits;
+};
+
+/// Number of live proxies, this one included.
+struct ProxyCountChanged
+{
+    std::size_t count = 1;
+};
+
+using RequestTaskMessage = std::variant<CallerLimitsChanged,
+    ProxyCountChanged,
+    ViewChanged,
     UpstreamGone,
     ReadinessChanged,
     PeerLinkEstablished,
@@ -91,6 +106,7 @@
     using EventHandler = std::function<void(RequestTaskEvent event)>;
 
     RequestTask(const ProxySettings &settings,
+        const EdgeProtocol &protocol,
         std::uint64_t incarnation,
         const Clock &clock,
         Random &random,
@@ -121,9 +137,13 @@
     void handle(const SuspectLearned &learned);
     void handle(const PlatformReply &reply);
     void handle(const StatusWanted &wanted);
+    void handle(const CallerLimitsChanged &change);
+    void handle(const ProxyCountChanged &change);
 
     void handleCallers(HttpServerEvent event);
     void startCall(HttpRequest request);
+    Result<std::shared_ptr<const Route>> tryResolve(const Call &call);
+    bool isLingering() const;
     void refuseCall(std::uint64_t token, const Error &error);
     void finishCall(const CallAnswer &answer);
     void handleUpstream(UpstreamClientEvent event);
@@ -137,6 +157,7 @@
     void updateGauges();
 
     const ProxySettings &m_settings;
+    const EdgeProtocol &m_protocol;
     const Clock &m_clock;
     MetricsRegistry &m_metrics;
     PeerLinks &m_links;
@@ -147,6 +168,8 @@
     bool m_isReady = false;
     bool m_isDraining = false;
     bool m_isDrainReported = false;
+    TimePoint m_lingersUntil;
+    WeightedSplit m_split;
     std::optional<UpstreamAnnouncement> m_upstream;
     bool m_isCrashCheckRunning = false;
 
--- a/Libraries/LibProxy/SoupSupport.cpp
+++ b/Libraries/LibProxy/SoupSupport.cpp
@@ -1,6 +1,7 @@
 #include <LibProxy/SoupSupport.h>
 
 #include <LibCore/ListeningSocket.h>
+#include <LibHttp/LibHttp.h>
 
 #include <algorithm>
 #include <array>
@@ -27,23 +28,10 @@
     return listening;
 }
 
-static constexpr std::string_view SetCookieName = "set-cookie";
-/// Cannot be part of a field value.
-static constexpr const char *SetCookieSeparator = "\n";
-
-static bool belongsToConnection(std::string_view name)
+/// libsoup sets the host itself.
+static bool isLeftToLibrary(std::string_view name)
 {
-    static constexpr std::array<std::string_view, 10> Names {"connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "host"};
-    return std::find(Names.begin(), Names.end(), name) != Names.end();
+    return name == "host" || isConnectionField(name);
 }
 
 HeaderList readHeaders(SoupMessageHeaders *headers)
@@ -54,16 +42,15 @@
     const char *name = nullptr;
     const char *value = nullptr;
     while (soup_message_headers_iter_next(&iterator, &name, &value)) {
-        std::string lower = name;
-        std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char character) { return std::tolower(character); });
-        if (belongsToConnection(lower)) {
+        const std::string lower = toLowerAscii(name);
+        if (isLeftToLibrary(lower)) {
             continue;
         }
         std::string &field = fields[lower];
         // Repeated fields are one field with a comma-separated list (RFC 9110, 5.3), but for Set-Cookie, whose
         // values hold commas themselves.
-        const char *separator = lower == SetCookieName ? SetCookieSeparator : ", ";
-        field += field.empty() ? value : separator + std::string(value);
+        const std::string separator = lower == SetCookieName ? std::string(1, SetCookieSeparator) : ", ";
+        field += field.empty() ? value : separator + value;
     }
     return fields;
 }
@@ -71,7 +58,7 @@
 void writeHeaders(SoupMessageHeaders *headers, const HeaderList &fields)
 {
     for (const auto &[name, value] : fields) {
-        if (belongsToConnection(name)) {
+        if (isLeftToLibrary(name)) {
             continue;
         }
         if (name != SetCookieName) {
--- a/Libraries/LibProxy/UpstreamAnnouncement.cpp
+++ b/Libraries/LibProxy/UpstreamAnnouncement.cpp
@@ -4,6 +4,17 @@
 
 namespace Fuchsiastep {
 
+bool UpstreamAnnouncement::isRestartOf(const UpstreamAnnouncement &earlier) const
+{
+    if (upstreamId != earlier.upstreamId) {
+        return false;
+    }
+    if (lifetime && earlier.lifetime) {
+        return lifetime->startedUnixMs != earlier.lifetime->startedUnixMs;
+    }
+    return ageMs < earlier.ageMs;
+}
+
 Result<UpstreamAnnouncement> UpstreamAnnouncement::tryParse(std::string_view text)
 {
     constexpr std::int64_t MaximumSlots = 10'000;
--- a/Libraries/LibProxy/UpstreamAnnouncement.h
+++ b/Libraries/LibProxy/UpstreamAnnouncement.h
@@ -4,11 +4,23 @@
 #include <LibCore/LibCore.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace Fuchsiastep {
 
+/// Tells the announcements of one start of an upstream apart from those of another, and orders them.
+struct UpstreamLifetime
+{
+    /// Unix milliseconds of the start.
+    std::int64_t startedUnixMs = 0;
+    /// Rises with each announcement of the start.
+    std::uint64_t sequence = 0;
+
+    bool operator==(const UpstreamLifetime &) const = default;
+};
+
 /// What an upstream tells the proxy beside it about itself. docs/interfaces.md gives the JSON form.
 struct UpstreamAnnouncement
 {
@@ -23,6 +35,11 @@
     std::uint32_t ageMs = 0;
     std::uint32_t loadPermille = 0;
     bool isDraining = false;
+    /// Nothing for an upstream whose announcements cannot arrive out of order.
+    std::optional<UpstreamLifetime> lifetime;
+
+    /// Whether the same upstream has started anew since \a earlier.
+    bool isRestartOf(const UpstreamAnnouncement &earlier) const;
 
     /// Fails with OperatorRequestMalformed; the detail names the field.
     static Result<UpstreamAnnouncement> tryParse(std::string_view text);
--- a/Libraries/LibProxy/UpstreamClient.cpp
+++ b/Libraries/LibProxy/UpstreamClient.cpp
@@ -1,191 +1,311 @@
 #include <LibProxy/UpstreamClient.h>
 
-#include <LibProxy/HttpHeaders.h>
-#include <LibProxy/SoupSupport.h>
+#include <algorithm>
 
 namespace Fuchsiastep {
 
-/// Without input or output for this long a call fails, so that an upstream that hangs gives its slot back. Twice the
-/// longest timeout of a selector, since a run that holds a key outlives its caller.
-static constexpr guint CallTimeLimitSeconds = 120;
+/// A run is given up after this time, so that an upstream that hangs gives its slot back. Twice the longest timeout of a
+/// selector, since a run that holds a key outlives its caller.
+static constexpr Duration LongestRun = std::chrono::seconds(120);
+static constexpr Duration ExpiryInterval = std::chrono::seconds(5);
+/// An upstream that does not say how long it keeps idle connections is assumed to keep them this long.
+static constexpr Duration AssumedKeepAlive = std::chrono::seconds(4);
+/// A kept connection is used until this long before the upstream closes it, so that a request and the close do not cross.
+static constexpr Duration KeepAliveMargin = std::chrono::seconds(1);
+/// A request that may not be repeated uses a connection that was used this recently, because no upstream closes one that
+/// soon; on an older one it could meet the close, and its outcome would be unknown for no reason.
+static constexpr Duration RecentUse = std::chrono::milliseconds(1500);
+/// A kept connection that breaks this soon after a request was sent was closed already; the upstream has not read the
+/// request.
+static constexpr Duration CrossedCloseTime = std::chrono::milliseconds(5);
+/// The upstream is on the same instance and answers a connection attempt at once.
+static constexpr Duration ConnectTime = std::chrono::seconds(1);
+/// Head of an answer.
+static constexpr std::uint32_t MaximumHeadBytes = 64 * 1024;
 
 struct UpstreamClient::Exchange
 {
-    UpstreamClient *client = nullptr;
     std::uint64_t localId = 0;
-    SoupMessage *message = nullptr;
-    GCancellable *cancellable = nullptr;
+    /// Without the body.
+    RequestFrame request;
+    std::string bytes;
     TimePoint startedAt;
-    /// libsoup began to write the request, so that bytes may have reached the upstream.
-    bool isSent = false;
-    /// The connection broke and libsoup began to send the request again.
-    bool isRestarted = false;
-
-    ~Exchange()
-    {
-        if (message != nullptr) {
-            g_signal_handlers_disconnect_by_data(message, this);
-        }
-        g_clear_object(&message);
-        g_clear_object(&cancellable);
-    }
+    bool wasResent = false;
+};
+
+struct UpstreamClient::Connection
+{
+    std::uint64_t id = 0;
+    SocketAddress address;
+    std::unique_ptr<TcpStream> stream;
+    HttpParser parser;
+    std::unique_ptr<Exchange> exchange;
+    TimePoint sentAt;
+    TimePoint usedAt;
+    TimePoint keptUntil;
+    std::uint32_t answers = 0;
+    /// Closed once the current exchange ends.
+    bool isLast = false;
+
+    explicit Connection(const HttpLimits &limits) : parser(HttpParser::Kind::Response, limits)
+    { }
 };
 
-UpstreamClient::UpstreamClient(const Clock &clock, std::uint64_t maximumAnswerBytes, EventHandler onEvent)
-    : m_clock(clock), m_maximumAnswerBytes(maximumAnswerBytes), m_onEvent(std::move(onEvent))
+UpstreamClient::UpstreamClient(
+    const Clock &clock, const EdgeProtocol &protocol, std::uint64_t maximumAnswerBytes, EventHandler onEvent)
+    : m_clock(clock)
+    , m_protocol(protocol)
+    , m_maximumAnswerBytes(maximumAnswerBytes)
+    , m_onEvent(std::move(onEvent))
+    , m_expiryTimer(clock, [this] { expireRuns(); })
 { }
 
-UpstreamClient::~UpstreamClient()
-{
-    for (auto &[localId, exchange] : m_exchanges) {
-        exchange->client = nullptr;
-        g_cancellable_cancel(exchange->cancellable);
-        // The pending callback frees the exchange.
-        [[maybe_unused]] Exchange *released = exchange.release();
-    }
-    g_clear_object(&m_session);
-}
+UpstreamClient::~UpstreamClient() = default;
 
 void UpstreamClient::setUpstream(const SocketAddress &address, std::uint32_t connections)
 {
-    if (m_session != nullptr && m_address == address && m_connections == connections) {
+    m_maximumConnections = std::max<std::uint32_t>(connections, 1);
+    if (m_address == address) {
         return;
     }
     m_address = address;
-    m_connections = connections;
-    g_clear_object(&m_session);
-    const int limit = static_cast<int>(std::max<std::uint32_t>(connections, 1));
-    m_session = soup_session_new_with_options(
-        "max-conns", limit, "max-conns-per-host", limit, "timeout", CallTimeLimitSeconds, "proxy-resolver", nullptr, nullptr);
+    closeIdleConnections();
+    for (auto &[id, connection] : m_connections) {
+        connection->isLast = true;
+    }
 }
 
-void UpstreamClient::start(std::uint64_t localId, const RequestFrame &request, Duration timeLeft)
+void UpstreamClient::closeIdleConnections()
 {
-    const std::string url = "http://" + m_address.toString() + request.path;
-    SoupMessage *message = m_session != nullptr ? soup_message_new(request.method.c_str(), url.c_str()) : nullptr;
-    if (message == nullptr) {
-        m_onEvent(UpstreamRequestFailed {localId, false, false, {ErrorCode::RequestMalformed, "method or path"}});
-        return;
+    std::erase_if(m_connections, [](const auto &entry) { return entry.second->exchange == nullptr; });
+}
+
+UpstreamClient::Connection *UpstreamClient::idleConnection(bool isRepeatable)
+{
+    const TimePoint now = m_clock.now();
+    std::erase_if(m_connections, [&](const auto &entry) { return entry.second->exchange == nullptr && now >= entry.second->keptUntil; });
+    Connection *latest = nullptr;
+    for (const auto &[id, connection] : m_connections) {
+        if (connection->exchange == nullptr && (latest == nullptr || connection->usedAt > latest->usedAt)) {
+            latest = connection.get();
+        }
     }
-    // A request that may not be repeated gets a connection of its own: on a kept one it could meet an upstream that
-    // is closing the connection, and its outcome would be unknown for no reason.
-    const SoupMessageFlags connectionFlag = request.isRepeatable ? SOUP_MESSAGE_IDEMPOTENT : SOUP_MESSAGE_NEW_CONNECTION;
-    soup_message_add_flags(message, static_cast<SoupMessageFlags>(SOUP_MESSAGE_NO_REDIRECT | connectionFlag));
-    SoupMessageHeaders *headers = soup_message_get_request_headers(message);
-    writeHeaders(headers, request.headers);
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
-    soup_message_headers_replace(headers, DeadlineHeader, std::to_string(milliseconds).c_str());
-    if (!request.body.empty()) {
-        GBytes *body = g_bytes_new(request.body.data(), request.body.size());
-        const char *contentType = soup_message_headers_get_one(headers, "content-type");
-        soup_message_set_request_body_from_bytes(message, contentType != nullptr ? contentType : "application/octet-stream", body);
-        g_bytes_unref(body);
+    if (latest != nullptr && !isRepeatable && now > latest->usedAt + RecentUse) {
+        return nullptr;
     }
+    return latest;
+}
+
+UpstreamClient::Connection &UpstreamClient::openConnection()
+{
+    const std::uint64_t id = m_nextConnectionId++;
+    ++m_connectionsOpened;
+    auto connection = std::make_unique<Connection>(HttpLimits {MaximumHeadBytes, m_maximumAnswerBytes});
+    connection->id = id;
+    connection->address = m_address;
+    connection->stream = TcpStream::connect(
+        m_address, [this, id](std::string_view bytes) { receive(id, bytes); }, [this, id](const StreamEnd &how) { end(id, how); });
+    return *(m_connections[id] = std::move(connection));
+}
 
+void UpstreamClient::start(std::uint64_t localId, const RequestFrame &request, Duration timeLeft)
+{
     auto exchange = std::make_unique<Exchange>();
-    Exchange *raw = exchange.get();
-    raw->client = this;
-    raw->localId = localId;
-    raw->message = message;
-    raw->cancellable = g_cancellable_new();
-    raw->startedAt = m_clock.now();
-    const auto onStarting = +[](SoupMessage *, gpointer data) {
-        static_cast<Exchange *>(data)->isSent = true;
-    };
-    g_signal_connect(message, "starting", G_CALLBACK(onStarting), raw);
-    // libsoup sends a request again by itself when a kept connection breaks. Only the caller side decides on that.
-    const auto onRestarted = +[](SoupMessage *, gpointer data) {
-        auto *restarted = static_cast<Exchange *>(data);
-        restarted->isRestarted = true;
-        g_cancellable_cancel(restarted->cancellable);
-    };
-    g_signal_connect(message, "restarted", G_CALLBACK(onRestarted), raw);
-    m_exchanges[localId] = std::move(exchange);
-    const GAsyncReadyCallback onAnswer = [](GObject *session, GAsyncResult *result, gpointer data) {
-        auto *ended = static_cast<Exchange *>(data);
-        GError *error = nullptr;
-        GBytes *body = soup_session_send_and_read_finish(SOUP_SESSION(session), result, &error);
-        if (ended->client == nullptr) {
-            delete ended;
-        } else {
-            ended->client->finish(ended->localId, body, error);
-        }
-        g_clear_error(&error);
-        if (body != nullptr) {
-            g_bytes_unref(body);
-        }
-    };
-    soup_session_send_and_read_async(m_session, message, G_PRIORITY_DEFAULT, raw->cancellable, onAnswer, raw);
+    exchange->localId = localId;
+    HttpMessage message = m_protocol.formatUpstreamRequest(request, timeLeft);
+    message.headers.try_emplace("host", m_address.toString());
+    exchange->bytes = serializeRequest(message);
+    exchange->request = request;
+    exchange->request.body.clear();
+    exchange->startedAt = m_clock.now();
+    Connection *connection = idleConnection(request.isRepeatable);
+    if (connection == nullptr && m_connections.size() >= m_maximumConnections) {
+        closeIdleConnections();
+    }
+    if (connection == nullptr && m_connections.size() >= m_maximumConnections) {
+        report(UpstreamRequestFailed {localId, false, false, {ErrorCode::UpstreamBusy, "every connection is in use"}});
+        return;
+    }
+    send(connection != nullptr ? *connection : openConnection(), std::move(exchange));
 }
 
-void UpstreamClient::abort(std::uint64_t localId)
+void UpstreamClient::send(Connection &connection, std::unique_ptr<Exchange> exchange)
 {
-    const auto found = m_exchanges.find(localId);
-    if (found != m_exchanges.end()) {
-        g_cancellable_cancel(found->second->cancellable);
+    if (exchange->request.method == "HEAD") {
+        connection.parser.expectNoBody();
+        connection.isLast = true;
     }
+    connection.sentAt = m_clock.now();
+    connection.exchange = std::move(exchange);
+    connection.stream->send(connection.exchange->bytes);
+    m_expiryTimer.setDeadline(m_clock.now() + ExpiryInterval);
 }
 
-void UpstreamClient::checkListening(std::function<void(bool isListening)> onResult)
+void UpstreamClient::receive(std::uint64_t connectionId, std::string_view bytes)
 {
-    GSocketClient *client = g_socket_client_new();
-    constexpr guint TimeoutSeconds = 1;
-    g_socket_client_set_timeout(client, TimeoutSeconds);
-    auto *callback = new std::function<void(bool)>(std::move(onResult));
-    const GAsyncReadyCallback onConnected = [](GObject *source, GAsyncResult *result, gpointer data) {
-        const std::unique_ptr<std::function<void(bool)>> handler(static_cast<std::function<void(bool)> *>(data));
-        GError *error = nullptr;
-        GSocketConnection *connection = g_socket_client_connect_to_host_finish(G_SOCKET_CLIENT(source), result, &error);
-        const bool isRefused = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
-        g_clear_error(&error);
-        g_clear_object(&connection);
-        (*handler)(!isRefused);
-    };
-    g_socket_client_connect_to_host_async(client, m_address.ip.c_str(), m_address.port, nullptr, onConnected, callback);
-    g_object_unref(client);
+    const auto found = m_connections.find(connectionId);
+    if (found == m_connections.end()) {
+        return;
+    }
+    Connection &connection = *found->second;
+    if (connection.exchange == nullptr) {
+        // Nothing was asked: these bytes belong to no request, and what follows cannot be told apart from an answer.
+        m_connections.erase(found);
+        return;
+    }
+    connection.parser.append(bytes);
+    while (true) {
+        Result<std::optional<HttpMessage>> next = connection.parser.tryNext();
+        if (isError(next)) {
+            fail(connectionId, false, errorOf(next));
+            return;
+        }
+        std::optional<HttpMessage> message = valueOf(std::move(next));
+        if (!message) {
+            return;
+        }
+        if (m_protocol.classifyAnswer(connection.exchange->request, *message) != UpstreamAnswerKind::Foreign) {
+            complete(connection, std::move(*message));
+            return;
+        }
+        connection.isLast = true;
+        if (message->isLast) {
+            fail(connectionId, false, {ErrorCode::AnswerTruncated, "the upstream answered another request and closed"});
+            return;
+        }
+    }
+}
+
+void UpstreamClient::complete(Connection &connection, HttpMessage message)
+{
+    const std::unique_ptr<Exchange> exchange = std::move(connection.exchange);
+    const TimePoint now = m_clock.now();
+    ++connection.answers;
+    connection.usedAt = now;
+    connection.keptUntil = now + std::max(Duration(0), message.keepAlive.value_or(AssumedKeepAlive) - KeepAliveMargin);
+    // An answer that comes before the whole request was taken leaves a connection on which the rest would be read as
+    // the next request; bytes behind an answer belong to no request.
+    const bool isReusable = !message.isLast && !connection.isLast && connection.stream->bytesQueued() == 0
+        && connection.parser.isBetweenMessages() && connection.stream->isOpen();
+    const UpstreamAnswerKind kind = m_protocol.classifyAnswer(exchange->request, message);
+    if (!isReusable) {
+        m_connections.erase(connection.id);
+    }
+    UpstreamAnswered answered;
+    answered.localId = exchange->localId;
+    answered.status = message.status;
+    answered.headers = std::move(message.headers);
+    answered.body = std::move(message.body);
+    answered.wasRefused = kind == UpstreamAnswerKind::Refusal;
+    answered.elapsed = now - exchange->startedAt;
+    report(std::move(answered));
 }
 
-static bool isBrokenConnection(const GError *error)
+bool UpstreamClient::mayResend(const Connection &connection, const StreamEnd &how) const
 {
-    return g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED)
-        || g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_CLOSED) || g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PARTIAL_INPUT)
-        || g_error_matches(error, G_IO_ERROR, G_IO_ERROR_BROKEN_PIPE);
+    const Exchange &exchange = *connection.exchange;
+    return !how.neverConnected && connection.answers > 0 && !exchange.wasResent && exchange.request.isRepeatable
+        && connection.parser.isBetweenMessages() && m_clock.now() <= connection.sentAt + CrossedCloseTime;
 }
 
-void UpstreamClient::finish(std::uint64_t localId, GBytes *body, GError *error)
+void UpstreamClient::end(std::uint64_t connectionId, const StreamEnd &how)
 {
-    const auto found = m_exchanges.find(localId);
-    if (found == m_exchanges.end()) {
+    const auto found = m_connections.find(connectionId);
+    if (found == m_connections.end()) {
         return;
     }
-    const std::unique_ptr<Exchange> exchange = std::move(found->second);
-    m_exchanges.erase(found);
-    if (error != nullptr) {
-        m_onEvent(UpstreamRequestFailed {
-            localId, exchange->isSent, exchange->isRestarted || isBrokenConnection(error), {ErrorCode::ConnectionClosed, error->message}});
+    Connection &connection = *found->second;
+    if (connection.exchange == nullptr) {
+        m_connections.erase(found);
         return;
     }
-    SoupMessageHeaders *headers = soup_message_get_response_headers(exchange->message);
-    const std::size_t size = g_bytes_get_size(body);
-    if (size > m_maximumAnswerBytes) {
-        m_onEvent(UpstreamRequestFailed {localId, true, false, {ErrorCode::BodyTooLarge, "answer of " + std::to_string(size) + " bytes"}});
+    if (mayResend(connection, how)) {
+        std::unique_ptr<Exchange> exchange = std::move(connection.exchange);
+        m_connections.erase(found);
+        exchange->wasResent = true;
+        send(openConnection(), std::move(exchange));
         return;
     }
-    // libsoup ends a body early without an error when the upstream closes, so the length is compared.
-    const bool hasLength = soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CONTENT_LENGTH;
-    const bool isHead = std::string_view(soup_message_get_method(exchange->message)) == "HEAD";
-    if (hasLength && !isHead && static_cast<std::uint64_t>(soup_message_headers_get_content_length(headers)) != size) {
-        m_onEvent(UpstreamRequestFailed {localId, true, true, {ErrorCode::AnswerTruncated, "the body is shorter than its content-length"}});
+    if (how.isOrderly) {
+        Result<std::optional<HttpMessage>> last = connection.parser.tryEnd();
+        const bool isWhole = !isError(last) && valueOf(last)
+            && m_protocol.classifyAnswer(connection.exchange->request, *valueOf(last)) != UpstreamAnswerKind::Foreign;
+        if (isWhole) {
+            complete(connection, *valueOf(std::move(last)));
+            return;
+        }
+    }
+    if (how.neverConnected) {
+        const std::unique_ptr<Connection> ended = std::move(found->second);
+        m_connections.erase(found);
+        report(UpstreamRequestFailed {ended->exchange->localId, false, true, {ErrorCode::ConnectionRefused, how.detail}});
         return;
     }
-    UpstreamAnswered answered;
-    answered.localId = localId;
-    answered.status = static_cast<std::uint16_t>(soup_message_get_status(exchange->message));
-    answered.headers = readHeaders(headers);
-    answered.wasRefused = answered.status == SOUP_STATUS_SERVICE_UNAVAILABLE && answered.headers.contains(RefusedHeader);
-    answered.body.assign(static_cast<const char *>(g_bytes_get_data(body, nullptr)), size);
-    answered.elapsed = m_clock.now() - exchange->startedAt;
-    m_onEvent(std::move(answered));
+    fail(connectionId, true, {ErrorCode::ConnectionClosed, how.detail});
+}
+
+void UpstreamClient::fail(std::uint64_t connectionId, bool isConnectionBroken, Error error)
+{
+    const auto found = m_connections.find(connectionId);
+    const std::unique_ptr<Connection> ended = std::move(found->second);
+    m_connections.erase(found);
+    report(UpstreamRequestFailed {ended->exchange->localId, true, isConnectionBroken, std::move(error)});
+}
+
+void UpstreamClient::abort(std::uint64_t localId)
+{
+    const auto found = std::find_if(m_connections.begin(), m_connections.end(), [localId](const auto &entry) {
+        return entry.second->exchange != nullptr && entry.second->exchange->localId == localId;
+    });
+    if (found != m_connections.end()) {
+        fail(found->first, false, {ErrorCode::Cancelled, "broken off"});
+    }
+}
+
+void UpstreamClient::checkListening(std::function<void(bool isListening)> onResult)
+{
+    const std::uint64_t id = m_nextCheckId++;
+    auto handler = std::make_shared<std::function<void(bool)>>(std::move(onResult));
+    const auto finish = [this, id, handler](bool isListening) {
+        if (*handler) {
+            const std::function<void(bool)> callback = std::move(*handler);
+            *handler = nullptr;
+            m_checks.erase(id);
+            callback(isListening);
+        }
+    };
+    auto stream = TcpStream::connect(
+        m_address, [](std::string_view) {}, [finish](const StreamEnd &how) { finish(!how.neverConnected); });
+    // An upstream that hangs is not gone: only a refused connection tells that nobody listens.
+    stream->setSilenceLimit(ConnectTime);
+    stream->setFlushedHandler([finish] { finish(true); });
+    m_checks[id] = std::move(stream);
+}
+
+void UpstreamClient::expireRuns()
+{
+    std::vector<std::uint64_t> overdue;
+    bool isAnyRunning = false;
+    for (const auto &[id, connection] : m_connections) {
+        if (connection->exchange == nullptr) {
+            continue;
+        }
+        isAnyRunning = true;
+        if (m_clock.now() > connection->exchange->startedAt + LongestRun) {
+            overdue.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : overdue) {
+        fail(id, false, {ErrorCode::DeadlineExceeded, "the upstream hangs"});
+    }
+    if (isAnyRunning) {
+        m_expiryTimer.setDeadline(m_clock.now() + ExpiryInterval);
+    }
+}
+
+void UpstreamClient::report(UpstreamClientEvent event)
+{
+    m_onEvent(std::move(event));
 }
 
 } // namespace Fuchsiastep
--- a/Libraries/LibProxy/UpstreamClient.h
+++ b/Libraries/LibProxy/UpstreamClient.h
@@ -1,16 +1,18 @@
 #pragma once
 
 #include <LibCore/LibCore.h>
-#include <LibWire/RequestFrame.h>
-
-#include <libsoup/soup.h>
+#include <LibProxy/EdgeProtocol.h>
+#include <LibProxy/Timer.h>
+#include <LibWire/LibWire.h>
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace Fuchsiastep {
 
@@ -40,19 +42,23 @@
 
 using UpstreamClientEvent = std::variant<UpstreamAnswered, UpstreamRequestFailed>;
 
-/// Sends requests to the upstream beside this proxy over HTTP and reads its health and load.
+/// Sends requests to the upstream beside this proxy over HTTP/1.1, one at a time on each connection. Connections are kept
+/// for further requests as long as the upstream surely keeps them too.
 class UpstreamClient
 {
 public:
     using EventHandler = std::function<void(UpstreamClientEvent event)>;
 
-    UpstreamClient(const Clock &clock, std::uint64_t maximumAnswerBytes, EventHandler onEvent);
+    /// \a protocol outlives the client.
+    UpstreamClient(const Clock &clock, const EdgeProtocol &protocol, std::uint64_t maximumAnswerBytes, EventHandler onEvent);
     ~UpstreamClient();
     UpstreamClient(const UpstreamClient &) = delete;
     UpstreamClient &operator=(const UpstreamClient &) = delete;
 
-    /// Where the upstream listens, and how many connections it takes.
+    /// Where the upstream listens, and how many connections it takes. Idle connections to another address are closed.
     void setUpstream(const SocketAddress &address, std::uint32_t connections);
+    /// Closes idle connections, because the upstream started anew.
+    void closeIdleConnections();
 
     void start(std::uint64_t localId, const RequestFrame &request, Duration timeLeft);
     /// Breaks off a request; its end is still told, as UpstreamRequestFailed.
@@ -61,18 +67,39 @@
     /// Opens a connection and tells whether the upstream still listens. An upstream that refuses connections is gone.
     void checkListening(std::function<void(bool isListening)> onResult);
 
+    /// Connections opened since the start.
+    std::uint64_t connectionsOpened() const
+    {
+        return m_connectionsOpened;
+    }
+
 private:
     struct Exchange;
-
-    void finish(std::uint64_t localId, GBytes *body, GError *error);
+    struct Connection;
+
+    Connection *idleConnection(bool isRepeatable);
+    Connection &openConnection();
+    void send(Connection &connection, std::unique_ptr<Exchange> exchange);
+    void receive(std::uint64_t connectionId, std::string_view bytes);
+    void end(std::uint64_t connectionId, const StreamEnd &how);
+    void complete(Connection &connection, HttpMessage message);
+    void fail(std::uint64_t connectionId, bool isConnectionBroken, Error error);
+    bool mayResend(const Connection &connection, const StreamEnd &how) const;
+    void expireRuns();
+    void report(UpstreamClientEvent event);
 
     const Clock &m_clock;
+    const EdgeProtocol &m_protocol;
     std::uint64_t m_maximumAnswerBytes;
     EventHandler m_onEvent;
-    SoupSession *m_session = nullptr;
     SocketAddress m_address;
-    std::uint32_t m_connections = 0;
-    std::map<std::uint64_t, std::unique_ptr<Exchange>> m_exchanges;
+    std::uint32_t m_maximumConnections = 0;
+    std::uint64_t m_nextConnectionId = 1;
+    std::uint64_t m_connectionsOpened = 0;
+    std::map<std::uint64_t, std::unique_ptr<Connection>> m_connections;
+    std::map<std::uint64_t, std::unique_ptr<TcpStream>> m_checks;
+    std::uint64_t m_nextCheckId = 1;
+    Timer m_expiryTimer;
 };
 
 } // namespace Fuchsiastep
--- a/Libraries/LibRequest/CoordinatorInput.h
+++ b/Libraries/LibRequest/CoordinatorInput.h
@@ -31,6 +31,8 @@
     std::optional<Duration> timeLeft;
     std::string body;
     std::shared_ptr<const Route> route;
+    /// The caller's id of the request, for logs.
+    std::string traceId;
 };
 
 /// The caller disconnected. It gets no answer.
--- a/Libraries/LibRequest/CoordinatorOutput.h
+++ b/Libraries/LibRequest/CoordinatorOutput.h
@@ -7,6 +7,7 @@
 #include <LibWire/RequestOutcome.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -38,6 +39,8 @@
     std::string detail;
     /// Request frames that were sent for it.
     std::uint32_t tries = 0;
+    /// When a request that was not run is likely to find room.
+    std::optional<Duration> retryAfter;
 };
 
 using CoordinatorOutput = std::variant<SendRequest, SendCancel, CallerAnswer>;
--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -13,6 +13,7 @@
     ErrorCode::ConnectionRefused,
     ErrorCode::NoUpstream,
     ErrorCode::UpstreamBusy,
+    ErrorCode::PlacementDeclined,
     ErrorCode::QueueTimeout,
     ErrorCode::Draining,
     ErrorCode::NotReady,
@@ -29,6 +30,13 @@
     return request.route->selector->rules;
 }
 
+/// Requests of a route with a target are placed where they are expected to be answered first, and are tried elsewhere as
+/// long as that helps.
+static bool hasTarget(const RouteRules &rules)
+{
+    return rules.targetLatency.count() > 0;
+}
+
 RequestCoordinator::RequestCoordinator(Settings settings, RoutingState &routing, UpstreamSelector &selector, const Clock &clock)
     : m_settings(settings), m_routing(routing), m_selector(selector), m_clock(clock)
 { }
@@ -90,8 +98,7 @@
         return;
     }
     const RouteRules &rules = rulesOf(request);
-    const bool isRepeatable =
-        std::find(rules.repeatableMethods.begin(), rules.repeatableMethods.end(), request.method) != rules.repeatableMethods.end();
+    const bool isRepeatable = rules.isRepeatable(request.method);
     if (const std::optional<Error> error = refusal(request, isRepeatable)) {
         refuse(request, *error);
         return;
@@ -101,6 +108,9 @@
     pending.request = request;
     pending.isRepeatable = isRepeatable;
     pending.deadline = m_clock.now() + std::min(rules.timeout, request.timeLeft.value_or(rules.timeout));
+    if (hasTarget(rules)) {
+        pending.targetAt = m_clock.now() + rules.targetLatency;
+    }
     m_bufferedBytes += request.body.size();
     m_deadlines.emplace(pending.deadline, request.token);
     m_pending.emplace(request.token, std::move(pending));
@@ -236,24 +246,29 @@
     if (!passSuspicion(token, pending, isIsolated)) {
         return;
     }
-    const Result<std::shared_ptr<const Endpoint>> endpoint = m_selector.trySelect(pending.request.route, pending.triedUpstreamIds);
-    if (isError(endpoint)) {
-        const bool isFirst = pending.triedUpstreamIds.empty();
+    const RouteRules &rules = rulesOf(pending.request);
+    const double answerBytes = m_answerSizes.meanOf(pending.request.route->selector->name);
+    const Result<Placement> placement =
+        m_selector.tryPlace(pending.request.route, {rules.targetLatency, answerBytes, pending.triedUpstreamIds});
+    if (isError(placement)) {
+        const bool isFirst = pending.offers == 0;
         finishWithout(token,
             RequestOutcome::NotRun,
-            isFirst ? errorOf(endpoint).code : pending.lastCode,
-            isFirst ? errorOf(endpoint).detail : pending.lastDetail);
+            isFirst ? errorOf(placement).code : pending.lastCode,
+            isFirst ? errorOf(placement).detail : pending.lastDetail);
         return;
     }
-    if (pending.triedUpstreamIds.empty()) {
-        m_routing.retries.recordFirstTry();
-    } else if (!m_routing.retries.take()) {
+    // An offer that was declined reached no upstream, so that it takes nothing from the budget of a route with a target.
+    const std::uint32_t triesBefore = hasTarget(rules) ? pending.arrivals : pending.offers;
+    if (pending.offers == 0) {
+        m_routing.retries.recordFirstTry(pending.request.service);
+    } else if (triesBefore > 0 && !m_routing.retries.take(pending.request.service)) {
         finishWithout(token, RequestOutcome::NotRun, ErrorCode::RetryBudgetExhausted, pending.lastDetail);
         return;
-    } else {
+    } else if (triesBefore > 0) {
         ++m_counts.retries;
     }
-    send(token, pending, valueOf(endpoint), isIsolated);
+    send(token, pending, valueOf(placement), isIsolated);
 }
 
 bool RequestCoordinator::passSuspicion(CallerToken token, Pending &pending, bool &isIsolated)
@@ -275,11 +290,12 @@
     return true;
 }
 
-void RequestCoordinator::send(CallerToken token, Pending &pending, const std::shared_ptr<const Endpoint> &endpoint, bool isIsolated)
+RequestFrame RequestCoordinator::requestFrame(const Pending &pending, const Placement &placement) const
 {
     const CallerRequest &request = pending.request;
+    const std::shared_ptr<const Endpoint> &endpoint = placement.endpoint;
     RequestFrame frame;
-    frame.requestId = m_nextRequestId++;
+    frame.requestId = m_nextRequestId;
     frame.service = request.service;
     frame.upstreamId = endpoint->upstreamId;
     frame.caller = request.caller;
@@ -293,9 +309,28 @@
     const Duration margin = std::min(m_settings.answerMargin, left / 10);
     frame.timeLeftMs =
         static_cast<std::uint32_t>(std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(left - margin).count()));
-    frame.isIsolated = isIsolated;
     frame.body = request.body;
+    frame.traceId = request.traceId;
+    frame.selector = request.route->selector->name;
+    if (pending.targetAt) {
+        // A request that is late already still counts as one with a target.
+        const auto targetLeft = std::chrono::duration_cast<std::chrono::milliseconds>(*pending.targetAt - m_clock.now());
+        frame.targetLeftMs = static_cast<std::uint32_t>(std::max<std::int64_t>(1, targetLeft.count()));
+    }
+    if (placement.maximumWait && pending.offers < m_settings.boundedOffers) {
+        const auto wait = std::chrono::ceil<std::chrono::milliseconds>(*placement.maximumWait);
+        frame.maximumWaitMs = static_cast<std::uint32_t>(std::max<std::int64_t>(1, wait.count()));
+    }
+    return frame;
+}
 
+void RequestCoordinator::send(CallerToken token, Pending &pending, const Placement &placement, bool isIsolated)
+{
+    const std::shared_ptr<const Endpoint> &endpoint = placement.endpoint;
+    RequestFrame frame = requestFrame(pending, placement);
+    frame.isIsolated = isIsolated;
+    ++m_nextRequestId;
+    ++pending.offers;
     if (isIsolated) {
         m_trials[fingerprintOf(pending)] = token;
     }
@@ -303,7 +338,10 @@
     m_routing.load.recordStart(endpoint->upstreamId);
     m_tries.emplace(frame.requestId, token);
     m_triesByProxy[endpoint->proxyId].insert(frame.requestId);
-    pending.triedUpstreamIds.push_back(endpoint->upstreamId);
+    if (!hasTarget(rulesOf(pending.request))) {
+        pending.triedUpstreamIds.push_back(endpoint->upstreamId);
+    }
+    pending.lastUpstreamId = endpoint->upstreamId;
     pending.current = Try {frame.requestId, endpoint, isIsolated, AnswerAssembly(m_settings.maximumAnswerBytes)};
     m_outputs.emplace_back(SendRequest {endpoint->proxyId, endpoint->proxyAddress, std::move(frame)});
 }
@@ -324,6 +362,30 @@
     if (!m_routing.suspects.isEmpty()) {
         m_routing.suspects.recordCompletion(fingerprintOf(pending), isIsolated);
     }
+    noteEndOfOffer(pending, answer.outcome, answer.code);
+    const bool hasFailed = answer.status >= FirstServerErrorStatus;
+    if (hasFailed && pending.isRepeatable && mayTryElsewhere(pending)) {
+        pending.failedAnswer = std::move(answer);
+        pending.mayHaveRun = true;
+        dispatch(token);
+        return;
+    }
+    if (!hasFailed) {
+        m_answerSizes.record(pending.request.route->selector->name, answer.body.size());
+    }
+    finishAnswered(token, std::move(answer));
+}
+
+bool RequestCoordinator::mayTryElsewhere(const Pending &pending) const
+{
+    const RouteRules &rules = rulesOf(pending.request);
+    // What is left of the time has to be enough for another run.
+    const bool hasTime = m_clock.now() + rules.targetLatency / 2 < pending.deadline;
+    return hasTarget(rules) && hasTime && pending.arrivals <= rules.maximumRetries && pending.offers < m_settings.maximumOffers;
+}
+
+void RequestCoordinator::finishAnswered(CallerToken token, AnswerFrame answer)
+{
     CallerAnswer result;
     result.outcome = RequestOutcome::Answered;
     result.status = answer.status;
@@ -353,8 +415,18 @@
     pending.current.reset();
 }
 
+void RequestCoordinator::noteEndOfOffer(Pending &pending, RequestOutcome outcome, ErrorCode code)
+{
+    pending.arrivals += outcome != RequestOutcome::NotRun || code == ErrorCode::UpstreamRefused ? 1 : 0;
+    // An upstream that declined because it is busier than others may still turn out to be the best choice.
+    if (hasTarget(rulesOf(pending.request)) && code != ErrorCode::PlacementDeclined) {
+        pending.triedUpstreamIds.push_back(pending.lastUpstreamId);
+    }
+}
+
 void RequestCoordinator::retryOrFinish(CallerToken token, Pending &pending, RequestOutcome outcome, ErrorCode code, std::string detail)
 {
+    noteEndOfOffer(pending, outcome, code);
     pending.mayHaveRun = pending.mayHaveRun || outcome == RequestOutcome::Unknown;
     pending.lastCode = code;
     pending.lastDetail = std::move(detail);
@@ -367,7 +439,10 @@
 
 bool RequestCoordinator::mayRetry(const Pending &pending, RequestOutcome outcome, ErrorCode code) const
 {
-    if (pending.triedUpstreamIds.size() > rulesOf(pending.request).maximumRetries || pending.deadline <= m_clock.now()) {
+    const RouteRules &rules = rulesOf(pending.request);
+    const bool isUsedUp = hasTarget(rules) ? pending.arrivals > rules.maximumRetries || pending.offers >= m_settings.maximumOffers
+                                           : pending.offers > rules.maximumRetries;
+    if (isUsedUp || pending.deadline <= m_clock.now()) {
         return false;
     }
     if (outcome == RequestOutcome::Unknown) {
@@ -378,10 +453,17 @@
 
 void RequestCoordinator::finishWithout(CallerToken token, RequestOutcome outcome, ErrorCode code, std::string detail)
 {
-    const Pending &pending = m_pending.at(token);
+    Pending &pending = m_pending.at(token);
+    if (pending.failedAnswer && code != ErrorCode::Cancelled) {
+        finishAnswered(token, std::move(*pending.failedAnswer));
+        return;
+    }
     CallerAnswer answer;
     answer.outcome = outcome;
     answer.code = code;
+    if (outcome == RequestOutcome::NotRun && !pending.mayHaveRun) {
+        answer.retryAfter = retryAfter(pending);
+    }
     // An earlier try may have run, whatever became of the last one.
     if (pending.mayHaveRun && outcome == RequestOutcome::NotRun) {
         answer.outcome = RequestOutcome::Unknown;
@@ -392,12 +474,20 @@
     finish(token, std::move(answer));
 }
 
+Duration RequestCoordinator::retryAfter(const Pending &pending)
+{
+    // Callers that were turned away together must not return together.
+    const Duration wait = std::clamp(
+        m_selector.shortestWait(*pending.request.route), m_settings.shortestRetryAfter, m_settings.longestRetryAfter);
+    return wait / 2 + m_selector.jitter(wait);
+}
+
 void RequestCoordinator::finish(CallerToken token, CallerAnswer answer)
 {
     const auto found = m_pending.find(token);
     const Pending &pending = found->second;
     answer.token = token;
-    answer.tries = static_cast<std::uint32_t>(pending.triedUpstreamIds.size());
+    answer.tries = pending.offers;
     m_counts.answered += answer.outcome == RequestOutcome::Answered ? 1 : 0;
     m_counts.notRun += answer.outcome == RequestOutcome::NotRun ? 1 : 0;
     m_counts.unknown += answer.outcome == RequestOutcome::Unknown ? 1 : 0;
--- a/Libraries/LibRequest/RequestCoordinator.h
+++ b/Libraries/LibRequest/RequestCoordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibRequest/AnswerAssembly.h>
+#include <LibRequest/AnswerSizes.h>
 #include <LibRequest/CoordinatorInput.h>
 #include <LibRequest/CoordinatorOutput.h>
 #include <LibRequest/RequestCounts.h>
@@ -30,6 +31,15 @@
         std::uint64_t maximumAnswerBytes = 16ULL * 1024 * 1024;
         /// The upstream side gets this much less time, so that its word on a queued request arrives in time.
         Duration answerMargin = std::chrono::milliseconds(5);
+        /// Proxies that a request of a route with a target is offered to. Most offers after the first are declined within
+        /// milliseconds, and each tells how loaded the upstream is.
+        std::size_t maximumOffers = 6;
+        /// Offers that name the longest acceptable wait; later ones take whatever place there is.
+        std::size_t boundedOffers = 3;
+        /// Bounds of the time after which a caller that was turned away is told to come back. The lower one is about a
+        /// service time, so that returning callers do not poll; the upper one keeps short overloads short.
+        Duration shortestRetryAfter = std::chrono::milliseconds(100);
+        Duration longestRetryAfter = std::chrono::seconds(1);
     };
 
     RequestCoordinator(Settings settings, RoutingState &routing, UpstreamSelector &selector, const Clock &clock);
@@ -59,7 +69,15 @@
         bool isRepeatable = false;
         /// A try ended without certainty, so that "not run" can no longer be told.
         bool mayHaveRun = false;
+        /// When the answer loses use for the caller.
+        std::optional<TimePoint> targetAt;
         std::vector<std::string> triedUpstreamIds;
+        /// Requests that reached an upstream, or may have.
+        std::uint32_t arrivals = 0;
+        std::uint32_t offers = 0;
+        std::string lastUpstreamId;
+        /// The upstream's own failure, which is told if no other upstream does better.
+        std::optional<AnswerFrame> failedAnswer;
         ErrorCode lastCode = ErrorCode::None;
         std::string lastDetail;
         std::optional<std::uint64_t> fingerprint;
@@ -77,9 +95,14 @@
     void dispatch(CallerToken token);
     /// False where the request was held off or waits for another one like it.
     bool passSuspicion(CallerToken token, Pending &pending, bool &isIsolated);
-    void send(CallerToken token, Pending &pending, const std::shared_ptr<const Endpoint> &endpoint, bool isIsolated);
+    void send(CallerToken token, Pending &pending, const Placement &placement, bool isIsolated);
+    RequestFrame requestFrame(const Pending &pending, const Placement &placement) const;
     void endAnswered(CallerToken token, Pending &pending);
     void endTry(CallerToken token, Pending &pending);
+    void finishAnswered(CallerToken token, AnswerFrame answer);
+    static void noteEndOfOffer(Pending &pending, RequestOutcome outcome, ErrorCode code);
+    bool mayTryElsewhere(const Pending &pending) const;
+    Duration retryAfter(const Pending &pending);
     void retryOrFinish(CallerToken token, Pending &pending, RequestOutcome outcome, ErrorCode code, std::string detail);
     bool mayRetry(const Pending &pending, RequestOutcome outcome, ErrorCode code) const;
     void finishWithout(CallerToken token, RequestOutcome outcome, ErrorCode code, std::string detail);
@@ -109,6 +132,7 @@
     std::unordered_map<std::uint64_t, CallerToken> m_trials;
     std::unordered_map<std::uint64_t, std::deque<CallerToken>> m_waiting;
     std::vector<std::uint64_t> m_endedTrials;
+    AnswerSizes m_answerSizes;
     std::uint64_t m_bufferedBytes = 0;
     RequestCounts m_counts;
     std::vector<CoordinatorOutput> m_outputs;
--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -10,7 +10,7 @@
 namespace Fuchsiastep {
 
 UpstreamGate::UpstreamGate(const Settings &settings, CrashSuspects &suspects, const Clock &clock)
-    : m_settings(settings), m_suspects(suspects), m_clock(clock)
+    : m_settings(settings), m_suspects(suspects), m_clock(clock), m_serviceTimes(settings.serviceTimes)
 { }
 
 std::vector<GateOutput> UpstreamGate::handle(const GateInput &input)
@@ -34,7 +34,11 @@
 
 LoadReport UpstreamGate::load() const
 {
-    return {capacity(), m_running, static_cast<std::uint32_t>(waiting()), m_reportedPermille};
+    constexpr double PermilleOfAll = 1000;
+    LoadReport report {capacity(), m_running, static_cast<std::uint32_t>(waiting()), m_reportedPermille};
+    report.serviceMs = static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(m_serviceTimes.mean()).count());
+    report.failurePermille = static_cast<std::uint32_t>(m_serviceTimes.failureShare() * PermilleOfAll);
+    return report;
 }
 
 const RequestCounts &UpstreamGate::counts() const
@@ -54,7 +58,7 @@
 
 std::size_t UpstreamGate::waiting() const
 {
-    return m_claiming + m_isolatedQueue.size() + m_queues[0].size() + m_queues[1].size() + m_queues[2].size();
+    return m_claiming + m_isolatedQueue.size() + m_queue.size();
 }
 
 bool UpstreamGate::isDraining() const
@@ -97,6 +101,9 @@
     entry.priority = priorityOf(request.frame.headers);
     entry.arrivedAt = m_clock.now();
     entry.deadline = m_clock.now() + std::chrono::milliseconds(request.frame.timeLeftMs);
+    const bool hasTarget = request.frame.targetLeftMs > 0;
+    entry.dueAt = hasTarget ? std::min(entry.deadline, m_clock.now() + std::chrono::milliseconds(request.frame.targetLeftMs)) : entry.deadline;
+    entry.service = m_serviceTimes.meanOf(request.frame.selector);
     entry.isIsolated = request.frame.isIsolated;
     m_byRequest.emplace(key, localId);
     if (const std::optional<Error> error = refusal(entry)) {
@@ -148,11 +155,17 @@
         if (entry.hasClaim) {
             m_outputs.emplace_back(ClaimAbandoned {upstreamAnswer.localId});
         }
+        m_serviceTimes.recordFailure(entry.frame.selector, Duration(0));
         answerWithout(entry, RequestOutcome::NotRun, ErrorCode::UpstreamRefused, {});
         finishRun(upstreamAnswer.localId);
         return;
     }
-    sampleServiceTime(entry);
+    const Duration elapsed = m_clock.now() - entry.startedAt;
+    if (hasFailed(upstreamAnswer)) {
+        m_serviceTimes.recordFailure(entry.frame.selector, elapsed);
+    } else {
+        m_serviceTimes.recordSuccess(entry.frame.selector, elapsed);
+    }
     m_suspects.recordCompletion(entry.fingerprint, m_isolatedRun == upstreamAnswer.localId);
     if (entry.hasClaim) {
         m_outputs.emplace_back(ClaimFinished {upstreamAnswer.localId,
@@ -187,9 +200,9 @@
         finishRun(failed.localId);
         return;
     }
-    if (entry.isAborted && m_clock.now() - entry.startedAt > m_serviceTime) {
-        // The run would have taken longer still.
-        sampleServiceTime(entry);
+    const bool isGivenUpByCaller = entry.isAborted && m_clock.now() < entry.deadline;
+    if (!isGivenUpByCaller) {
+        m_serviceTimes.recordFailure(entry.frame.selector, m_clock.now() - entry.startedAt);
     }
     if (!entry.isAborted) {
         m_recentFailures.push_back({m_clock.now(), entry.fingerprint, m_isolatedRun == failed.localId});
@@ -289,9 +302,18 @@
     if (canStartNow) {
         return std::nullopt;
     }
+    return refusalToQueue(entry);
+}
+
+std::optional<Error> UpstreamGate::refusalToQueue(const Entry &entry)
+{
+    const Duration wait = expectedWait(entry);
+    const Duration offered = std::chrono::milliseconds(entry.frame.maximumWaitMs);
+    if (offered.count() > 0 && wait > offered) {
+        return Error {ErrorCode::PlacementDeclined, "the expected wait is longer than elsewhere"};
+    }
     // A request that would be dropped from the queue later only takes the place of one that would run.
-    const Duration wait = expectedWait(entry.priority);
-    if (wait > m_settings.maximumQueueTime || m_clock.now() + wait + m_serviceTime > entry.deadline) {
+    if (wait > m_settings.maximumQueueTime || m_clock.now() + wait + entry.service > entry.dueAt) {
         return Error {ErrorCode::UpstreamBusy, "the expected wait is too long"};
     }
     if (!makePlaceFor(entry.priority)) {
@@ -300,19 +322,22 @@
     return std::nullopt;
 }
 
+bool UpstreamGate::hasFailed(const UpstreamAnswer &upstreamAnswer) const
+{
+    constexpr std::uint16_t FirstServerErrorStatus = 500;
+    return upstreamAnswer.status >= FirstServerErrorStatus;
+}
+
 bool UpstreamGate::makePlaceFor(RequestPriority priority)
 {
     if (waiting() < static_cast<std::size_t>(m_settings.queuePlacesPerSlot) * capacity()) {
         return true;
     }
-    for (std::size_t lower = 0; lower < static_cast<std::size_t>(priority); ++lower) {
-        if (!m_queues.at(lower).empty()) {
-            // The newest has waited least.
-            dropNotRun(m_queues.at(lower).back(), ErrorCode::UpstreamBusy, "shed for a request of higher priority");
-            return true;
-        }
+    const std::optional<LocalId> lessUrgent = m_queue.leastUrgentBelow(priority);
+    if (lessUrgent) {
+        dropNotRun(*lessUrgent, ErrorCode::UpstreamBusy, "shed for a request of higher priority");
     }
-    return false;
+    return lessUrgent.has_value();
 }
 
 std::uint32_t UpstreamGate::capacity() const
@@ -320,19 +345,23 @@
     return m_upstream ? std::min(m_upstream->slots, m_upstream->connections) : 0;
 }
 
-Duration UpstreamGate::expectedWait(RequestPriority priority) const
+Duration UpstreamGate::expectedWait(const Entry &entry) const
 {
-    std::size_t ahead = m_claiming + m_isolatedQueue.size() + 1;
-    for (std::size_t level = static_cast<std::size_t>(priority); level < m_queues.size(); ++level) {
-        ahead += m_queues.at(level).size();
-    }
-    return m_serviceTime * static_cast<std::int64_t>(ahead) / std::max(1U, capacity());
+    // One more than those ahead has to end before a slot is free for this one.
+    const auto ahead = static_cast<std::int64_t>(m_claiming + m_isolatedQueue.size() + 1);
+    const Duration work = m_serviceTimes.mean() * ahead + m_queue.workAhead(entry.priority, entry.dueAt);
+    return work / std::max(1U, capacity());
+}
+
+AdmissionQueue::Entry UpstreamGate::queueEntry(LocalId localId, const Entry &entry)
+{
+    return {localId, entry.priority, entry.dueAt, entry.service};
 }
 
 void UpstreamGate::enqueue(LocalId localId, Entry &entry)
 {
     entry.stage = Stage::Queued;
-    const TimePoint latest = entry.deadline - m_serviceTime;
+    const TimePoint latest = entry.dueAt - entry.service;
     setWake(localId, entry, std::min(m_clock.now() + m_settings.maximumQueueTime, latest));
     if (!m_suspects.isEmpty()) {
         entry.fingerprint = requestFingerprint(entry.frame.service, entry.frame.method, entry.frame.path, entry.frame.body);
@@ -341,7 +370,7 @@
     if (entry.isIsolated) {
         m_isolatedQueue.push_back(localId);
     } else {
-        m_queues.at(static_cast<std::size_t>(entry.priority)).push_back(localId);
+        m_queue.push(queueEntry(localId, entry));
     }
 }
 
@@ -361,8 +390,7 @@
     if (m_isolatedRun || m_running >= capacity()) {
         return std::nullopt;
     }
-    const auto queue = std::find_if(m_queues.rbegin(), m_queues.rend(), [](const auto &level) { return !level.empty(); });
-    const bool isOthersTurn = m_hasRunIsolated && m_runsSinceIsolated < capacity() && queue != m_queues.rend();
+    const bool isOthersTurn = m_hasRunIsolated && m_runsSinceIsolated < capacity() && !m_queue.isEmpty();
     if (!m_isolatedQueue.empty() && !isOthersTurn) {
         // Nothing new starts until the upstream is empty, or the isolated request would never run.
         if (m_running > 0) {
@@ -372,12 +400,7 @@
         m_isolatedQueue.pop_front();
         return localId;
     }
-    if (queue == m_queues.rend()) {
-        return std::nullopt;
-    }
-    const LocalId localId = queue->front();
-    queue->pop_front();
-    return localId;
+    return m_queue.pop();
 }
 
 void UpstreamGate::start(LocalId localId)
@@ -418,7 +441,7 @@
 {
     Entry &entry = m_entries.at(localId);
     if (entry.stage == Stage::Queued) {
-        const bool isLate = m_clock.now() >= entry.deadline - m_serviceTime;
+        const bool isLate = m_clock.now() >= entry.dueAt - entry.service;
         dropNotRun(localId, isLate ? ErrorCode::DeadlineExceeded : ErrorCode::QueueTimeout, "waited for a slot");
         return;
     }
@@ -541,13 +564,6 @@
     erase(localId);
 }
 
-void UpstreamGate::sampleServiceTime(const Entry &entry)
-{
-    const Duration sample = m_clock.now() - entry.startedAt;
-    const auto change = m_settings.serviceTimeWeight * static_cast<double>((sample - m_serviceTime).count());
-    m_serviceTime = m_serviceTime.count() == 0 ? sample : m_serviceTime + Duration(static_cast<Duration::rep>(change));
-}
-
 void UpstreamGate::finishRun(LocalId localId)
 {
     --m_running;
@@ -573,8 +589,11 @@
     if (entry.stage != Stage::Queued) {
         return;
     }
-    std::deque<LocalId> &queue = entry.isIsolated ? m_isolatedQueue : m_queues.at(static_cast<std::size_t>(entry.priority));
-    std::erase(queue, localId);
+    if (entry.isIsolated) {
+        std::erase(m_isolatedQueue, localId);
+    } else {
+        m_queue.remove(queueEntry(localId, entry));
+    }
 }
 
 void UpstreamGate::erase(LocalId localId)
--- a/Libraries/LibRequest/UpstreamGate.h
+++ b/Libraries/LibRequest/UpstreamGate.h
@@ -1,13 +1,14 @@
 #pragma once
 
 #include <LibConfiguration/RouteRules.h>
+#include <LibRequest/AdmissionQueue.h>
 #include <LibRequest/GateInput.h>
 #include <LibRequest/GateOutput.h>
 #include <LibRequest/RequestCounts.h>
+#include <LibRequest/ServiceTimes.h>
 #include <LibRouting/CrashSuspects.h>
 #include <LibWire/LoadReport.h>
 
-#include <array>
 #include <deque>
 #include <map>
 #include <optional>
@@ -31,8 +32,7 @@
         std::size_t maximumIsolated = 2;
         /// First part of an answer's body and each further part, in bytes.
         std::size_t partBytes = 64ULL * 1024;
-        /// Weight of a new sample in the mean service time.
-        double serviceTimeWeight = 0.1;
+        ServiceTimes::Settings serviceTimes;
         /// Failures within this time before UpstreamCrashed belong to the crash.
         Duration crashWindow = std::chrono::milliseconds(500);
         /// Finished request ids that are remembered to drop repeated frames.
@@ -71,6 +71,10 @@
         TimePoint arrivedAt;
         TimePoint startedAt;
         TimePoint deadline;
+        /// When the answer loses use for the caller; the deadline where the request names no target.
+        TimePoint dueAt;
+        /// Expected time on the upstream, as it was when the request was queued.
+        Duration service {0};
         /// When advance() looks at the entry.
         std::optional<TimePoint> wakeAt;
         bool hasClaim = false;
@@ -101,7 +105,10 @@
     std::optional<Error> refusal(const Entry &entry);
     bool makePlaceFor(RequestPriority priority);
     std::uint32_t capacity() const;
-    Duration expectedWait(RequestPriority priority) const;
+    Duration expectedWait(const Entry &entry) const;
+    std::optional<Error> refusalToQueue(const Entry &entry);
+    static AdmissionQueue::Entry queueEntry(LocalId localId, const Entry &entry);
+    bool hasFailed(const UpstreamAnswer &answer) const;
     void enqueue(LocalId localId, Entry &entry);
     void startWaiting();
     std::optional<LocalId> takeNext();
@@ -115,7 +122,6 @@
     void answerWithout(Entry &entry, RequestOutcome outcome, ErrorCode code, std::string detail);
     /// Ends a request that never reached the upstream.
     void dropNotRun(LocalId localId, ErrorCode code, std::string detail);
-    void sampleServiceTime(const Entry &entry);
     void finishRun(LocalId localId);
     void setWake(LocalId localId, Entry &entry, std::optional<TimePoint> at);
     void removeFromQueue(LocalId localId, const Entry &entry);
@@ -137,7 +143,7 @@
     std::map<RequestKey, LocalId> m_byRequest;
     std::deque<RequestKey> m_finishedOrder;
     std::set<RequestKey> m_finished;
-    std::array<std::deque<LocalId>, 3> m_queues;
+    AdmissionQueue m_queue;
     std::deque<LocalId> m_isolatedQueue;
     std::set<std::pair<TimePoint, LocalId>> m_wakes;
     std::uint32_t m_running = 0;
@@ -147,7 +153,7 @@
     /// Runs since the last isolated one; others get a turn between two isolated runs.
     std::uint32_t m_runsSinceIsolated = 0;
     bool m_hasRunIsolated = false;
-    Duration m_serviceTime {0};
+    ServiceTimes m_serviceTimes;
     struct Failure
     {
         TimePoint at;
--- a/Libraries/LibRouting/LibRouting.h
+++ b/Libraries/LibRouting/LibRouting.h
@@ -7,7 +7,10 @@
 #include <LibRouting/CrashSuspects.h>
 #include <LibRouting/EjectionPolicy.h>
 #include <LibRouting/LoadEstimate.h>
+#include <LibRouting/PlacementPolicy.h>
 #include <LibRouting/RequestFingerprint.h>
 #include <LibRouting/RetryBudget.h>
+#include <LibRouting/RetryBudgets.h>
 #include <LibRouting/RoutingState.h>
 #include <LibRouting/UpstreamSelector.h>
+#include <LibRouting/WeightedSplit.h>
--- a/Libraries/LibRouting/LoadEstimate.cpp
+++ b/Libraries/LibRouting/LoadEstimate.cpp
@@ -29,6 +29,11 @@
     const double selfReported = m_settings.selfReportWeight * report.slots * std::min(1000U, report.reportedPermille) / 1000;
     upstream.reportedByOthers = std::clamp(counted, 0.0, limit) + selfReported;
     upstream.reportedAt = m_clock.now();
+    if (report.serviceMs > 0) {
+        upstream.serviceTime = std::chrono::milliseconds(report.serviceMs);
+    }
+    constexpr double PermilleOfAll = 1000;
+    upstream.failureShare = std::min(1.0, report.failurePermille / PermilleOfAll);
 }
 
 void LoadEstimate::forget(const std::string &upstreamId)
@@ -51,13 +56,42 @@
     const Upstream &upstream = found->second;
     double requests = upstream.inFlight;
     if (upstream.reportedByOthers > 0) {
-        const double halves =
-            static_cast<double>((m_clock.now() - upstream.reportedAt).count()) / static_cast<double>(m_settings.halfLife.count());
-        requests += upstream.reportedByOthers * std::exp2(-halves);
+        requests += upstream.reportedByOthers * weightAfter(m_clock.now() - upstream.reportedAt, m_settings.halfLife);
     }
     return requests / std::max(1U, endpoint.slots);
 }
 
+double LoadEstimate::weightAfter(Duration age, Duration halfLife)
+{
+    return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(halfLife.count()));
+}
+
+std::optional<Duration> LoadEstimate::serviceTime(const std::string &upstreamId) const
+{
+    const auto found = m_upstreams.find(upstreamId);
+    return found == m_upstreams.end() ? std::nullopt : found->second.serviceTime;
+}
+
+LoadEstimate::Expectation LoadEstimate::expectation(const Endpoint &endpoint, Duration typicalService) const
+{
+    Expectation expected;
+    expected.service = typicalService;
+    const auto found = m_upstreams.find(endpoint.upstreamId);
+    if (found == m_upstreams.end()) {
+        return expected;
+    }
+    const double weight = weightAfter(m_clock.now() - found->second.reportedAt, m_settings.speedHalfLife);
+    expected.failureShare = found->second.failureShare * weight;
+    if (found->second.serviceTime) {
+        const auto difference = static_cast<double>((*found->second.serviceTime - typicalService).count());
+        expected.service = typicalService + Duration(static_cast<Duration::rep>(difference * weight));
+    }
+    const double slots = std::max(1U, endpoint.slots);
+    const double ahead = std::max(0.0, load(endpoint) * slots + 1 - slots);
+    expected.wait = Duration(static_cast<Duration::rep>(ahead * static_cast<double>(expected.service.count()) / slots));
+    return expected;
+}
+
 bool LoadEstimate::isFull(const Endpoint &endpoint, double share) const
 {
     return load(endpoint) >= m_settings.fullSlots * share;
--- a/Libraries/LibRouting/LoadEstimate.h
+++ b/Libraries/LibRouting/LoadEstimate.h
@@ -4,6 +4,7 @@
 #include <LibCore/LibCore.h>
 #include <LibWire/LoadReport.h>
 
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -25,6 +26,21 @@
         double selfReportWeight = 0.25;
         /// Own load from which an upstream counts as full, in multiples of its slots.
         double fullSlots = 3;
+        /// What an upstream reported of its speed and failures has half its weight after this time, so that one that
+        /// recovers is tried again.
+        Duration speedHalfLife = std::chrono::seconds(4);
+        /// Service time that is assumed of an upstream before anything is known of its service.
+        Duration assumedServiceTime = std::chrono::milliseconds(100);
+    };
+
+    /// What a request sent now would meet.
+    struct Expectation
+    {
+        /// Until a slot is free.
+        Duration wait {0};
+        Duration service {0};
+        /// From 0 to 1.
+        double failureShare = 0;
     };
 
     LoadEstimate(const Settings &settings, const Clock &clock);
@@ -39,6 +55,14 @@
     double load(const Endpoint &endpoint) const;
     /// True where another request would only wait or be shed. \a share is the one of ColdStartRamp.
     bool isFull(const Endpoint &endpoint, double share) const;
+    /// \a typicalService is the mean of the service, which stands in for what is not known of the upstream.
+    Expectation expectation(const Endpoint &endpoint, Duration typicalService) const;
+    /// Service time that the upstream reported; nothing where it reported none.
+    std::optional<Duration> serviceTime(const std::string &upstreamId) const;
+    const Settings &settings() const
+    {
+        return m_settings;
+    }
 
 private:
     struct Upstream
@@ -47,8 +71,12 @@
         /// Work of other callers at the time of the report, in requests.
         double reportedByOthers = 0;
         TimePoint reportedAt;
+        std::optional<Duration> serviceTime;
+        double failureShare = 0;
     };
 
+    static double weightAfter(Duration age, Duration halfLife);
+
     Settings m_settings;
     const Clock &m_clock;
     std::unordered_map<std::string, Upstream> m_upstreams;
--- /dev/null
+++ b/Libraries/LibRouting/PlacementPolicy.cpp
@@ -0,0 +1,106 @@
+#include <LibRouting/PlacementPolicy.h>
+
+#include <algorithm>
+
+namespace Fuchsiastep {
+
+static Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+PlacementPolicy::PlacementPolicy(
+    Settings settings, const LoadEstimate &load, const EjectionPolicy &ejections, ColdStartRamp &ramp, Random &random)
+    : m_settings(std::move(settings)), m_load(load), m_ejections(ejections), m_ramp(ramp), m_random(random)
+{ }
+
+std::optional<Placement> PlacementPolicy::choose(const Route &route, const Request &request)
+{
+    const std::size_t size = route.endpoints.size();
+    const std::size_t probes = std::min(size, m_settings.maximumProbes);
+    const std::size_t begin = size > 0 ? m_random.below(size) : 0;
+    const Duration typicalService = typicalServiceTime(route);
+    std::optional<Candidate> best;
+    std::optional<Candidate> next;
+    for (std::size_t count = 0; count < probes; ++count) {
+        const std::size_t position = (begin + count) % size;
+        const std::string &id = route.endpoints[position]->upstreamId;
+        if (std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end()) {
+            continue;
+        }
+        const Candidate candidate = examine(route, position, request, typicalService);
+        if (!best || isBetter(candidate, *best)) {
+            next = best;
+            best = candidate;
+        } else if (!next || isBetter(candidate, *next)) {
+            next = candidate;
+        }
+    }
+    if (!best) {
+        return std::nullopt;
+    }
+    Placement placement {route.endpoints[best->position], std::nullopt};
+    if (next && next->isEjected == best->isEjected) {
+        placement.maximumWait = best->wait + (next->cost - best->cost) + m_settings.waitSlack;
+    }
+    return placement;
+}
+
+PlacementPolicy::Candidate PlacementPolicy::examine(
+    const Route &route, std::size_t position, const Request &request, Duration typicalService)
+{
+    const Endpoint &endpoint = *route.endpoints[position];
+    const LoadEstimate::Expectation expected = m_load.expectation(endpoint, typicalService);
+    const bool isCold = m_ramp.share(endpoint) < 1 && !m_load.serviceTime(endpoint.upstreamId);
+    const Duration service = isCold ? scaled(expected.service, m_settings.coldFactor) : expected.service;
+    Candidate candidate;
+    candidate.position = position;
+    candidate.wait = expected.wait;
+    candidate.isEjected = m_ejections.isEjected(endpoint);
+    candidate.cost = expected.wait + service + scaled(service, m_settings.fullnessShare * std::min(1.0, m_load.load(endpoint)))
+        + scaled(request.target, expected.failureShare) + distance(endpoint, request.answerBytes)
+        + scaled(service, m_settings.spread * m_random.unit());
+    return candidate;
+}
+
+Duration PlacementPolicy::distance(const Endpoint &endpoint, double answerBytes) const
+{
+    if (endpoint.dataCentre == m_settings.dataCentre) {
+        return Duration(0);
+    }
+    constexpr double MicrosecondsPerSecond = 1e6;
+    const auto transfer = static_cast<Duration::rep>(answerBytes / m_settings.remoteBytesPerSecond * MicrosecondsPerSecond);
+    return Duration(transfer) + (endpoint.region == m_settings.region ? m_settings.otherDataCentre : m_settings.otherRegion);
+}
+
+Duration PlacementPolicy::typicalServiceTime(const Route &route) const
+{
+    Duration sum {0};
+    std::int64_t known = 0;
+    const std::size_t probes = std::min(route.endpoints.size(), m_settings.maximumProbes);
+    for (std::size_t position = 0; position < probes; ++position) {
+        if (const std::optional<Duration> service = m_load.serviceTime(route.endpoints[position]->upstreamId)) {
+            sum += *service;
+            ++known;
+        }
+    }
+    return known > 0 ? sum / known : m_load.settings().assumedServiceTime;
+}
+
+Duration PlacementPolicy::shortestWait(const Route &route) const
+{
+    std::optional<Duration> shortest;
+    const Duration typicalService = typicalServiceTime(route);
+    for (const auto &endpoint : route.endpoints) {
+        const Duration wait = m_load.expectation(*endpoint, typicalService).wait;
+        shortest = std::min(wait, shortest.value_or(wait));
+    }
+    return shortest.value_or(Duration(0));
+}
+
+bool PlacementPolicy::isBetter(const Candidate &left, const Candidate &right)
+{
+    return left.isEjected != right.isEjected ? right.isEjected : left.cost < right.cost;
+}
+
+} // namespace Fuchsiastep
--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -5,9 +5,16 @@
 namespace Fuchsiastep {
 
 RetryBudget::RetryBudget(const Settings &settings, const Clock &clock)
-    : m_settings(settings), m_clock(clock), m_tokens(settings.floorPerSecond), m_addedAt(clock.now())
+    : m_settings(settings), m_clock(clock), m_tokens(std::min(settings.floorPerSecond, settings.capacity)), m_addedAt(clock.now())
 { }
 
+void RetryBudget::setSettings(const Settings &settings)
+{
+    addFloor();
+    m_settings = settings;
+    m_tokens = std::min(m_tokens, m_settings.capacity);
+}
+
 void RetryBudget::recordFirstTry()
 {
     m_tokens = std::min(m_settings.capacity, m_tokens + m_settings.share);
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -20,6 +20,8 @@
 
     RetryBudget(const Settings &settings, const Clock &clock);
 
+    /// Keeps what was saved, up to the new capacity.
+    void setSettings(const Settings &settings);
     void recordFirstTry();
     /// Takes one retry. False where the budget is used up.
     bool take();
--- a/Libraries/LibRouting/RoutingState.h
+++ b/Libraries/LibRouting/RoutingState.h
@@ -4,7 +4,7 @@
 #include <LibRouting/CrashSuspects.h>
 #include <LibRouting/EjectionPolicy.h>
 #include <LibRouting/LoadEstimate.h>
-#include <LibRouting/RetryBudget.h>
+#include <LibRouting/RetryBudgets.h>
 
 namespace Fuchsiastep {
 
@@ -17,7 +17,7 @@
         LoadEstimate::Settings load;
         EjectionPolicy::Settings ejections;
         ColdStartRamp::Settings ramp;
-        RetryBudget::Settings retries;
+        RetryBudgets::Settings retries;
         CrashSuspects::Settings suspects;
     };
 
@@ -29,7 +29,7 @@
     LoadEstimate load;
     EjectionPolicy ejections;
     ColdStartRamp ramp;
-    RetryBudget retries;
+    RetryBudgets retries;
     CrashSuspects suspects;
 };
 
--- a/Libraries/LibRouting/UpstreamSelector.cpp
+++ b/Libraries/LibRouting/UpstreamSelector.cpp
@@ -7,10 +7,42 @@
 // Usable upstreams among which the least loaded is chosen.
 static constexpr std::size_t ChoiceCount = 2;
 
+static PlacementPolicy::Settings placementSettings(const UpstreamSelector::Settings &settings)
+{
+    PlacementPolicy::Settings placements;
+    placements.dataCentre = settings.dataCentre;
+    placements.region = settings.region;
+    placements.maximumProbes = settings.maximumProbes;
+    return placements;
+}
+
 UpstreamSelector::UpstreamSelector(Settings settings, RoutingState &state, Random &random)
-    : m_settings(std::move(settings)), m_state(state), m_random(random)
+    : m_settings(std::move(settings))
+    , m_state(state)
+    , m_random(random)
+    , m_placements(placementSettings(m_settings), state.load, state.ejections, state.ramp, random)
 { }
 
+Result<Placement> UpstreamSelector::tryPlace(const std::shared_ptr<const Route> &route, const PlacementPolicy::Request &request)
+{
+    if (route->selector->rules.locality != LocalityPreference::Fastest) {
+        const Result<std::shared_ptr<const Endpoint>> endpoint = trySelect(route, request.excluded);
+        return isError(endpoint) ? Result<Placement>(errorOf(endpoint)) : Placement {valueOf(endpoint), std::nullopt};
+    }
+    const std::optional<Placement> placement = m_placements.choose(*route, request);
+    return placement ? Result<Placement>(*placement) : Error {ErrorCode::NoUpstream, route->selector->service};
+}
+
+Duration UpstreamSelector::jitter(Duration limit)
+{
+    return m_random.jitter(limit);
+}
+
+Duration UpstreamSelector::shortestWait(const Route &route) const
+{
+    return m_placements.shortestWait(route);
+}
+
 Result<std::shared_ptr<const Endpoint>> UpstreamSelector::trySelect(
     const std::shared_ptr<const Route> &route, const std::vector<std::string> &excluded)
 {
--- a/Libraries/LibRouting/UpstreamSelector.h
+++ b/Libraries/LibRouting/UpstreamSelector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibConfiguration/Route.h>
+#include <LibRouting/PlacementPolicy.h>
 #include <LibRouting/RoutingState.h>
 
 #include <array>
@@ -34,6 +35,14 @@
     /// Fails with NoUpstream.
     Result<std::shared_ptr<const Endpoint>> trySelect(const std::shared_ptr<const Route> &route, const std::vector<std::string> &excluded);
 
+    /// The same for a request whose route prefers LocalityPreference::Fastest, with the wait that is acceptable there. Other
+    /// routes accept any wait.
+    Result<Placement> tryPlace(const std::shared_ptr<const Route> &route, const PlacementPolicy::Request &request);
+    /// Shortest wait that a request of the route is expected to meet.
+    Duration shortestWait(const Route &route) const;
+    /// A duration in [0, limit], drawn from the random numbers of the proxy.
+    Duration jitter(Duration limit);
+
     /// Endpoints looked at by the last call.
     std::size_t lastProbeCount() const;
 
@@ -71,6 +80,7 @@
     Settings m_settings;
     RoutingState &m_state;
     Random &m_random;
+    PlacementPolicy m_placements;
     std::unordered_map<const Route *, Index> m_indexes;
     std::deque<const Route *> m_indexOrder;
     std::size_t m_probeCount = 0;
--- a/Libraries/LibWire/FrameReader.h
+++ b/Libraries/LibWire/FrameReader.h
@@ -4,6 +4,7 @@
 
 #include <LibCore/Digest.h>
 #include <LibCore/ErrorCode.h>
+#include <LibWire/FrameWriter.h>
 #include <LibWire/HeaderList.h>
 #include <LibWire/LoadReport.h>
 #include <LibWire/RequestOutcome.h>
@@ -77,7 +78,7 @@
     void take(LoadReport &load)
     {
         const msgpack::object *field = next(msgpack::type::ARRAY);
-        if (field == nullptr || field->via.array.size != 4) {
+        if (field == nullptr || field->via.array.size != LoadReportFields) {
             m_isOk = false;
             return;
         }
@@ -86,6 +87,8 @@
         numbers.take(load.slotsInUse);
         numbers.take(load.queued);
         numbers.take(load.reportedPermille);
+        numbers.take(load.serviceMs);
+        numbers.take(load.failurePermille);
         m_isOk = m_isOk && numbers.ok();
     }
     void take(RequestOutcome &outcome)
--- a/Libraries/LibWire/FrameWriter.h
+++ b/Libraries/LibWire/FrameWriter.h
@@ -12,6 +12,9 @@
 
 namespace Fuchsiastep {
 
+/// Numbers in the array of a load report.
+constexpr std::uint32_t LoadReportFields = 6;
+
 /// Appends the fields of frames to one msgpack array.
 class FrameWriter
 {
@@ -62,11 +65,13 @@
     }
     void put(const LoadReport &load)
     {
-        m_packer.pack_array(4);
+        m_packer.pack_array(LoadReportFields);
         put(load.slots);
         put(load.slotsInUse);
         put(load.queued);
         put(load.reportedPermille);
+        put(load.serviceMs);
+        put(load.failurePermille);
     }
 
     void write(const HelloFrame &frame)
@@ -92,6 +97,10 @@
         put(frame.timeLeftMs);
         put(frame.isIsolated);
         put(frame.body);
+        put(frame.selector);
+        put(frame.targetLeftMs);
+        put(frame.maximumWaitMs);
+        put(frame.traceId);
     }
     void write(const AnswerFrame &frame)
     {
--- a/Libraries/LibWire/LibWire.h
+++ b/Libraries/LibWire/LibWire.h
@@ -8,4 +8,5 @@
 #include <LibWire/FrameCodec.h>
 #include <LibWire/FrameType.h>
 #include <LibWire/PeerConnection.h>
-#include <LibWire/PeerListener.h>
+#include <LibWire/TcpListener.h>
+#include <LibWire/TcpStream.h>
--- a/Libraries/LibWire/PeerConnection.h
+++ b/Libraries/LibWire/PeerConnection.h
@@ -2,6 +2,8 @@
 
 #include <LibCore/SocketAddress.h>
 #include <LibWire/FrameBuffer.h>
+#include <LibWire/FrameCodec.h>
+#include <LibWire/TcpStream.h>
 
 #include <gio/gio.h>
 
--- a/Libraries/LibWire/RequestFrame.h
+++ b/Libraries/LibWire/RequestFrame.h
@@ -27,6 +27,14 @@
     /// Run only while nothing else runs on the upstream, because requests like this one crashed upstreams.
     bool isIsolated = false;
     std::string body;
+    /// Name of the selector; requests of one selector take similar time.
+    std::string selector;
+    /// Time until the answer loses use for the caller; 0 for none.
+    std::uint32_t targetLeftMs = 0;
+    /// The request is declined where it would wait longer than this for a slot; 0 for no limit.
+    std::uint32_t maximumWaitMs = 0;
+    /// The caller's id of the request, for logs.
+    std::string traceId;
 
     bool operator==(const RequestFrame &) const = default;
 };
--- a/Libraries/LibWire/PeerListener.cpp
+++ b/Libraries/LibWire/TcpListener.cpp
@@ -1,12 +1,12 @@
-#include <LibWire/PeerListener.h>
+#include <LibWire/TcpListener.h>
 
 #include <LibCore/ListeningSocket.h>
 
 namespace Fuchsiastep {
 
-Result<std::unique_ptr<PeerListener>> PeerListener::tryListen(const SocketAddress &address, AcceptHandler onAccept)
+Result<std::unique_ptr<TcpListener>> TcpListener::tryListen(const SocketAddress &address, AcceptHandler onAccept)
 {
-    std::unique_ptr<PeerListener> listener(new PeerListener);
+    std::unique_ptr<TcpListener> listener(new TcpListener);
     listener->m_address = address;
     const Result<GSocket *> socket = tryOpenListeningSocket(listener->m_address);
     if (isError(socket)) {
@@ -16,7 +16,7 @@
     listener->m_onAccept = std::move(onAccept);
     listener->m_source = g_socket_create_source(listener->m_socket, G_IO_IN, nullptr);
     const GSocketSourceFunc callback = [](GSocket *, GIOCondition, gpointer data) -> gboolean {
-        static_cast<PeerListener *>(data)->accept();
+        static_cast<TcpListener *>(data)->accept();
         return G_SOURCE_CONTINUE;
     };
     g_source_set_callback(listener->m_source, G_SOURCE_FUNC(callback), listener.get(), nullptr);
@@ -24,7 +24,7 @@
     return listener;
 }
 
-PeerListener::~PeerListener()
+TcpListener::~TcpListener()
 {
     if (m_source != nullptr) {
         g_source_destroy(m_source);
@@ -36,7 +36,7 @@
     }
 }
 
-void PeerListener::accept()
+void TcpListener::accept()
 {
     GSocket *socket = g_socket_accept(m_socket, nullptr, nullptr);
     if (socket == nullptr) {
--- a/Libraries/LibWire/PeerListener.h
+++ b/Libraries/LibWire/TcpListener.h
@@ -9,18 +9,18 @@
 
 namespace Fuchsiastep {
 
-/// Accepts connections from other proxies on the default main context.
-class PeerListener
+/// Accepts TCP connections on the default main context.
+class TcpListener
 {
 public:
     using AcceptHandler = std::function<void(GSocket *socket)>;
 
     /// Listens at \a address; port 0 lets the kernel choose. Fails with ListenFailed.
-    static Result<std::unique_ptr<PeerListener>> tryListen(const SocketAddress &address, AcceptHandler onAccept);
+    static Result<std::unique_ptr<TcpListener>> tryListen(const SocketAddress &address, AcceptHandler onAccept);
 
-    ~PeerListener();
-    PeerListener(const PeerListener &) = delete;
-    PeerListener &operator=(const PeerListener &) = delete;
+    ~TcpListener();
+    TcpListener(const TcpListener &) = delete;
+    TcpListener &operator=(const TcpListener &) = delete;
 
     /// The address with the port in use.
     const SocketAddress &address() const
@@ -29,7 +29,7 @@
     }
 
 private:
-    PeerListener() = default;
+    TcpListener() = default;
     void accept();
 
     GSocket *m_socket = nullptr;
--- a/Services/fuchsiastepd/main.cpp
+++ b/Services/fuchsiastepd/main.cpp
@@ -1,6 +1,8 @@
 #include <LibCore/LibCore.h>
 #include <LibProxy/LibProxy.h>
 
+#include <platform/PlatformAdapter.h>
+
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -31,7 +33,8 @@
     GMainLoop *loop = g_main_loop_new(nullptr, FALSE);
     int exitCode = 0;
     {
-        ProxyRuntime runtime(settings, [loop] { g_main_loop_quit(loop); });
+        EdgeProtocol protocol = settings.edge == EdgeKind::Platform ? platformProtocol(settings) : nativeProtocol();
+        ProxyRuntime runtime(settings, std::move(protocol), [loop] { g_main_loop_quit(loop); });
         const Result<ProxyAddresses> addresses = runtime.tryStart();
         if (isError(addresses)) {
             std::cerr << describe(errorOf(addresses)) << '\n';
--- a/Tests/Support/FakePlatform.h
+++ b/Tests/Support/FakePlatform.h
@@ -84,7 +84,7 @@
 
     PlatformResponse run(const ReadRows &read)
     {
-        Rows rows;
+        Rows rows {{}, m_revision};
         for (const std::string &key : read.keys) {
             rows.rows.push_back(rowOf(stateToRead(), key));
         }
@@ -102,6 +102,16 @@
         }
         return rows;
     }
+    PlatformResponse run(const WatchRows &watch)
+    {
+        RowsChanged changes {{}, m_revision};
+        for (const auto &[key, row] : m_states.back()) {
+            if (key.starts_with(watch.prefix) && row.revision > watch.afterRevision) {
+                changes.rows.push_back(row);
+            }
+        }
+        return changes;
+    }
     PlatformResponse run(const Transaction &transaction)
     {
         Conflict conflict;
