Reload settings on SIGHUP, and spend less of the shared retry budget

Change: SIGHUP reads the settings again, refuses bad ones whole, and applies log level and retry budget. RetryBudgets::usedShare is 0.4.

--- a/Libraries/LibCore/LogEvent.cpp
+++ b/Libraries/LibCore/LogEvent.cpp
@@ -8,6 +8,11 @@
 static constexpr std::array LogEvents {
     LogEventInfo {LogEvent::ProgramStarted, "ProgramStarted", LogLevel::Info, "A program started; fields give its version and addresses."},
     LogEventInfo {LogEvent::ProgramStopped, "ProgramStopped", LogLevel::Info, "A program stops in an orderly way."},
+    LogEventInfo {LogEvent::SettingsReloaded, "SettingsReloaded", LogLevel::Info, "The settings file was read again."},
+    LogEventInfo {LogEvent::SettingsRejected,
+        "SettingsRejected",
+        LogLevel::Error,
+        "The settings file was read again and is not valid; the old settings stay in force."},
     LogEventInfo {LogEvent::FreezeDetected,
         "FreezeDetected",
         LogLevel::Warning,
--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -17,6 +17,8 @@
 enum class LogEvent : std::uint16_t {
     ProgramStarted = 1000,
     ProgramStopped = 1001,
+    SettingsReloaded = 1002,
+    SettingsRejected = 1003,
     FreezeDetected = 1004,
 
     PeerConnected = 2000,
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -289,6 +289,15 @@
     m_requests->post(StatusWanted {receive});
 }
 
+void ProxyRuntime::reload(const ProxySettings &settings)
+{
+    startLogging(settings.logLevel);
+    m_settings.logLevel = settings.logLevel;
+    m_settings.retries = settings.retries;
+    m_requests->post(RetriesChanged {settings.retries});
+    logEvent(LogEvent::SettingsReloaded, {{"proxy", m_settings.proxyId}});
+}
+
 void ProxyRuntime::drain()
 {
     if (m_isDraining) {
--- a/Libraries/LibProxy/ProxyRuntime.h
+++ b/Libraries/LibProxy/ProxyRuntime.h
@@ -32,6 +32,9 @@
     /// Opens every listener and joins the fleet. Fails with ListenFailed.
     Result<ProxyAddresses> tryStart();
 
+    /// Takes over the log level and the retry budget; other changes take effect at the next start.
+    void reload(const ProxySettings &settings);
+
     /// Refuses new work, finishes what runs, leaves the fleet and stops.
     void drain();
 
--- a/Libraries/LibProxy/RequestSettings.cpp
+++ b/Libraries/LibProxy/RequestSettings.cpp
@@ -27,12 +27,15 @@
     return ledger;
 }
 
+std::optional<RetryBudgets::FleetBudget> fleetBudget(const std::optional<RetrySettings> &retries)
+{
+    return retries ? std::optional(RetryBudgets::FleetBudget {retries->ratio, retries->slack, retries->window}) : std::nullopt;
+}
+
 RoutingState::Settings routingSettings(const ProxySettings &settings)
 {
     RoutingState::Settings routing;
-    if (settings.retries) {
-        routing.retries.fleet = RetryBudgets::FleetBudget {settings.retries->ratio, settings.retries->slack, settings.retries->window};
-    }
+    routing.retries.fleet = fleetBudget(settings.retries);
     return routing;
 }
 
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -164,6 +164,11 @@
     m_callers.setLimits(limits);
 }
 
+void RequestTask::handle(const RetriesChanged &change)
+{
+    m_routing.retries.setFleetBudget(fleetBudget(change.retries));
+}
+
 void RequestTask::handle(const ProxyCountChanged &change)
 {
     m_routing.retries.setProxyCount(change.count);
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -71,7 +71,14 @@
     std::size_t count = 1;
 };
 
+/// Another retry budget, from the settings.
+struct RetriesChanged
+{
+    std::optional<RetrySettings> retries;
+};
+
 using RequestTaskMessage = std::variant<CallerLimitsChanged,
+    RetriesChanged,
     ProxyCountChanged,
     ViewChanged,
     UpstreamGone,
@@ -139,6 +146,7 @@
     void handle(const StatusWanted &wanted);
     void handle(const CallerLimitsChanged &change);
     void handle(const ProxyCountChanged &change);
+    void handle(const RetriesChanged &change);
 
     void handleCallers(HttpServerEvent event);
     void startCall(HttpRequest request);
--- a/Libraries/LibRouting/RetryBudgets.cpp
+++ b/Libraries/LibRouting/RetryBudgets.cpp
@@ -10,6 +10,17 @@
 void RetryBudgets::setProxyCount(std::size_t count)
 {
     m_proxyCount = std::max<std::size_t>(count, 1);
+    applyShares();
+}
+
+void RetryBudgets::setFleetBudget(const std::optional<FleetBudget> &fleet)
+{
+    m_settings.fleet = fleet;
+    applyShares();
+}
+
+void RetryBudgets::applyShares()
+{
     for (auto &[service, budget] : m_budgets) {
         budget.setSettings(shareSettings());
     }
--- a/Libraries/LibRouting/RetryBudgets.h
+++ b/Libraries/LibRouting/RetryBudgets.h
@@ -29,18 +29,20 @@
         std::optional<FleetBudget> fleet;
         /// Share of the fleet's budget that is used. The rest covers retries that this proxy does not see, such as the
         /// calls that a repeated run makes again, and proxies with an old view of the fleet's size.
-        double usedShare = 0.5;
+        double usedShare = 0.4;
     };
 
     RetryBudgets(const Settings &settings, const Clock &clock);
 
     /// Live proxies, this one included. Budgets keep what they have saved.
     void setProxyCount(std::size_t count);
+    void setFleetBudget(const std::optional<FleetBudget> &fleet);
     void recordFirstTry(const std::string &service);
     /// Takes one retry. False where the budget is used up.
     bool take(const std::string &service);
 
 private:
+    void applyShares();
     RetryBudget &budgetOf(const std::string &service);
     RetryBudget::Settings shareSettings() const;
 
--- a/Services/fuchsiastepd/main.cpp
+++ b/Services/fuchsiastepd/main.cpp
@@ -10,6 +10,7 @@
 
 #include <glib-unix.h>
 
+#include <csignal>
 #include <iostream>
 
 using namespace Fuchsiastep;
@@ -28,6 +29,20 @@
     return G_SOURCE_CONTINUE;
 }
 
+/// Reads the settings file again. Settings that are not valid are refused whole, and the old ones stay in force.
+gboolean reloadOnSignal(gpointer data)
+{
+    auto *runtime = static_cast<ProxyRuntime *>(data);
+    std::vector<Error> errors;
+    const Result<ProxySettings> settings = ProxySettings::tryLoad(absl::GetFlag(FLAGS_settings), errors);
+    if (isError(settings)) {
+        logEvent(LogEvent::SettingsRejected, {{"error", describe(errorOf(settings))}, {"errors", errors.size()}});
+        return G_SOURCE_CONTINUE;
+    }
+    runtime->reload(valueOf(settings));
+    return G_SOURCE_CONTINUE;
+}
+
 int runProxy(const ProxySettings &settings)
 {
     GMainLoop *loop = g_main_loop_new(nullptr, FALSE);
@@ -42,6 +57,7 @@
         } else {
             g_unix_signal_add(SIGTERM, &drainOnSignal, &runtime);
             g_unix_signal_add(SIGINT, &drainOnSignal, &runtime);
+            g_unix_signal_add(SIGHUP, &reloadOnSignal, &runtime);
             const auto &[callers, control, peers] = valueOf(addresses);
             logEvent(LogEvent::ProgramStarted, {{"proxy", settings.proxyId}, {"version", FUCHSIASTEP_VERSION}});
             std::cout << "listening callers " << callers.toString() << " control " << control.toString() << " peers " << peers.toString()
@@ -85,6 +101,8 @@
         std::cout << "settings are valid\n";
         return 0;
     }
+    // A reader of the log that goes away must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
     startLogging(valueOf(settings).logLevel);
     return runProxy(valueOf(settings));
 }
