--- a/Libraries/LibConfiguration/DocumentReader.cpp
+++ b/Libraries/LibConfiguration/DocumentReader.cpp
@@ -71,7 +71,7 @@
         m_outputs.emplace_back(DocumentMissing {});
     }
     if (!m_watchCall) {
-        scheduleWatch(rows->revision);
+        scheduleWatch(rows->revision, false);
     }
 }
 
@@ -80,8 +80,7 @@
     const auto *changes = std::get_if<RowsChanged>(&response);
     if (changes != nullptr) {
         m_backoff.reset();
-        findDocument(changes->rows);
-        scheduleWatch(changes->revision);
+        scheduleWatch(changes->revision, findDocument(changes->rows));
     } else if (std::holds_alternative<HistoryGone>(response)) {
         m_nextRead = m_clock.now();
     } else {
@@ -99,12 +98,10 @@
     return found != rows.rend();
 }
 
-void DocumentReader::scheduleWatch(std::uint64_t revision)
+void DocumentReader::scheduleWatch(std::uint64_t revision, bool hasChanged)
 {
-    // A platform that answers watches at once must not be asked in a busy loop.
-    const bool isPauseNeeded = revision == m_watchedRevision;
     m_watchedRevision = revision;
-    m_nextWatch = m_clock.now() + (isPauseNeeded ? m_settings.watchPause : Duration(0));
+    m_nextWatch = m_clock.now() + (hasChanged ? m_settings.changePause : m_settings.watchPause);
 }
 
 void DocumentReader::fail(const PlatformResponse &response)
--- a/Libraries/LibConfiguration/DocumentReader.h
+++ b/Libraries/LibConfiguration/DocumentReader.h
@@ -21,6 +21,9 @@
     Duration watchTime = std::chrono::seconds(20);
     /// Least time between two watches, for a platform that answers them without waiting.
     Duration watchPause = std::chrono::milliseconds(50);
+    /// Time between a change and the next watch. Of documents that follow each other quickly only the last one is read, so
+    /// that they do not fill a slow link; a third of the time in which a change has to be in force.
+    Duration changePause = std::chrono::milliseconds(600);
     /// Waits after failures. During an outage each proxy asks about once in the upper one.
     Duration firstBackoff = std::chrono::milliseconds(100);
     Duration backoffCap = std::chrono::seconds(1);
@@ -70,7 +73,7 @@
     void acceptRead(const PlatformResponse &response);
     void acceptWatch(const PlatformResponse &response);
     bool findDocument(const std::vector<Row> &rows);
-    void scheduleWatch(std::uint64_t revision);
+    void scheduleWatch(std::uint64_t revision, bool hasChanged);
     void fail(const PlatformResponse &response);
     CallId call(PlatformRequest request);
     std::vector<DocumentReaderOutput> takeOutputs();
--- a/Libraries/LibCore/LogEvent.cpp
+++ b/Libraries/LibCore/LogEvent.cpp
@@ -67,6 +67,10 @@
         "AnnouncementIgnored",
         LogLevel::Info,
         "An announcement of the upstream is older than what is known, or of an earlier start."},
+    LogEventInfo {LogEvent::RequestAnswered, "RequestAnswered", LogLevel::Debug, "A caller received its upstream's answer."},
+    LogEventInfo {LogEvent::RequestPlaced, "RequestPlaced", LogLevel::Debug, "A request was sent to the proxy beside an upstream."},
+    LogEventInfo {LogEvent::RunStarted, "RunStarted", LogLevel::Debug, "A request was sent to the upstream beside this proxy."},
+    LogEventInfo {LogEvent::RunEnded, "RunEnded", LogLevel::Debug, "The upstream beside this proxy answered a request, or did not."},
     LogEventInfo {LogEvent::OperatorRequestRejected, "OperatorRequestRejected", LogLevel::Info, "An operator request is not valid."},
 };
 
--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -59,6 +59,10 @@
     HttpRequestRejected = 6011,
     TryFailed = 6012,
     AnnouncementIgnored = 6013,
+    RequestAnswered = 6014,
+    RequestPlaced = 6015,
+    RunStarted = 6016,
+    RunEnded = 6017,
 
     OperatorRequestRejected = 7000,
 };
--- a/Libraries/LibProxy/PeerLinks.cpp
+++ b/Libraries/LibProxy/PeerLinks.cpp
@@ -33,7 +33,8 @@
 static bool isControlFrame(const Frame &frame)
 {
     return !std::holds_alternative<RequestFrame>(frame) && !std::holds_alternative<AnswerFrame>(frame)
-        && !std::holds_alternative<AnswerPartFrame>(frame) && !std::holds_alternative<CancelFrame>(frame);
+        && !std::holds_alternative<AnswerPartFrame>(frame) && !std::holds_alternative<AnswerPartAckFrame>(frame)
+        && !std::holds_alternative<CancelFrame>(frame);
 }
 
 PeerLinks::PeerLinks(HelloFrame self, const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent)
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -131,6 +131,7 @@
                    [&](AnswerFrame &) { m_requests->post(std::move(*received)); },
                    [&](AnswerPartFrame &) { m_requests->post(std::move(*received)); },
                    [&](CancelFrame &) { m_requests->post(std::move(*received)); },
+                   [&](AnswerPartAckFrame &) { m_requests->post(std::move(*received)); },
                    [&](auto &) {
                        m_configuration->post(PeerFrame {received->proxyId, std::move(received->frame)});
                    },
--- a/Libraries/LibProxy/RequestSettings.cpp
+++ b/Libraries/LibProxy/RequestSettings.cpp
@@ -42,6 +42,7 @@
 UpstreamSelector::Settings selectorSettings(const ProxySettings &settings)
 {
     UpstreamSelector::Settings selector;
+    selector.proxyId = settings.proxyId;
     selector.dataCentre = settings.dataCentre;
     selector.region = settings.region;
     return selector;
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -38,6 +38,7 @@
     , m_selector(selectorSettings(settings), m_routing, random)
     , m_coordinator(coordinatorSettings(settings.limits), m_routing, m_selector, clock)
     , m_gate(gateSettings(settings.limits), m_routing.suspects, clock)
+    , m_transfers({}, clock)
     , m_ledger(ledgerSettings(settings, incarnation), clock, random)
     , m_upstreamClient(clock, protocol, settings.limits.answerBodyBytes, [this](UpstreamClientEvent event) { handleUpstream(std::move(event)); })
     , m_callers(settings.limits.requestBodyBytes, [this](HttpServerEvent event) { handleCallers(std::move(event)); })
@@ -92,11 +93,13 @@
 {
     std::visit(Overloaded {
                    [&](const RequestFrame &frame) {
-                       run(m_gate.handle(PeerRequest {received.connectionId, frame}));
+                       receiveRequest(received, frame);
                    },
                    [&](const CancelFrame &frame) {
+                       run(m_transfers.cancel(received.connectionId, frame.requestId));
                        run(m_gate.handle(PeerCancel {received.connectionId, frame.requestId}));
                    },
+                   [&](const AnswerPartAckFrame &frame) { run(m_transfers.acknowledge(received.connectionId, frame)); },
                    [&](const AnswerFrame &frame) {
                        if (frame.outcome != RequestOutcome::Answered) {
                            logEvent(LogEvent::TryFailed, {{"peer", received.proxyId}, {"error", describe({frame.code, frame.detail})}});
@@ -104,6 +107,7 @@
                        run(m_coordinator.handle(PeerAnswer {received.proxyId, received.connectionId, received.incarnation, frame}));
                    },
                    [&](const AnswerPartFrame &frame) {
+                       m_links.sendOn(received.connectionId, AnswerPartAckFrame {frame.requestId, frame.offset + frame.body.size()});
                        run(m_coordinator.handle(PeerAnswer {received.proxyId, received.connectionId, received.incarnation, frame}));
                    },
                    [](const auto &) {},
@@ -114,6 +118,7 @@
 void RequestTask::handle(const PeerConnectionClosed &closed)
 {
     if (!closed.carriesRequests) {
+        run(m_transfers.closeConnection(closed.connectionId));
         run(m_gate.handle(PeerDisconnected {closed.connectionId}));
     } else if (closed.neverConnected) {
         run(m_coordinator.handle(PeerConnectFailed {closed.proxyId}));
@@ -294,6 +299,14 @@
     if (answer.outcome == RequestOutcome::Unknown) {
         logEvent(LogEvent::RequestUnknown,
             {{"request", call->second.traceId}, {"service", call->second.service}, {"error", describe({answer.code, answer.detail})}, {"tries", answer.tries}});
+    } else if (answer.outcome == RequestOutcome::Answered) {
+        logEvent(LogEvent::RequestAnswered,
+            {{"request", call->second.traceId},
+                {"service", call->second.service},
+                {"status", answer.status},
+                {"tries", answer.tries},
+                {"elapsed_us", (m_clock.now() - call->second.startedAt).count()},
+                {"bytes", answer.body.size()}});
     } else if (answer.outcome == RequestOutcome::NotRun) {
         logEvent(LogEvent::RequestRefused, {{"request", call->second.traceId}, {"service", call->second.service}, {"error", describe({answer.code, answer.detail})}});
     }
@@ -306,11 +319,14 @@
     std::visit(Overloaded {
                    [this](UpstreamAnswered &answered) {
                        m_metrics.observe("fuchsiastep_upstream_seconds", answered.elapsed);
+                       logEvent(LogEvent::RunEnded,
+                           {{"run", answered.localId}, {"status", answered.status}, {"elapsed_us", answered.elapsed.count()}});
                        run(m_gate.handle(UpstreamAnswer {
                            answered.localId, answered.status, std::move(answered.headers), std::move(answered.body), answered.wasRefused}));
                    },
                    [this](const UpstreamRequestFailed &failed) {
                        m_metrics.count("fuchsiastep_upstream_failures_total");
+                       logEvent(LogEvent::RunEnded, {{"run", failed.localId}, {"error", describe(failed.error)}});
                        run(m_gate.handle(UpstreamFailed {failed.localId, failed.mayHaveRun}));
                        if (failed.isConnectionBroken) {
                            confirmCrash();
@@ -344,7 +360,17 @@
 {
     for (CoordinatorOutput &output : outputs) {
         std::visit(Overloaded {
-                       [this](const SendRequest &send) { m_links.sendTo(send.proxyId, send.address, send.frame); },
+                       [this](const SendRequest &send) {
+                           logEvent(LogEvent::RequestPlaced,
+                               {{"request", send.frame.traceId},
+                                   {"selector", send.frame.selector},
+                                   {"upstream", send.frame.upstreamId},
+                                   {"version", m_view->configuration()->version()},
+                                   {"time_left_ms", send.frame.timeLeftMs},
+                                   {"target_left_ms", send.frame.targetLeftMs},
+                                   {"maximum_wait_ms", send.frame.maximumWaitMs}});
+                           m_links.sendTo(send.proxyId, send.address, send.frame);
+                       },
                        [this](const SendCancel &cancel) { m_links.sendToOpen(cancel.proxyId, cancel.frame); },
                        [this](CallerAnswer &end) {
                            finishCall({end.token,
@@ -367,15 +393,16 @@
     for (GateOutput &output : outputs) {
         std::visit(Overloaded {
                        [this](const StartUpstreamRequest &start) {
+                           logEvent(LogEvent::RunStarted,
+                               {{"request", start.frame.traceId},
+                                   {"wait_us", start.waited.count()},
+                                   {"time_left_ms", start.frame.timeLeftMs},
+                                   {"running", m_gate.running()},
+                                   {"queued", m_gate.waiting()}});
                            m_upstreamClient.start(start.localId, start.frame, std::chrono::milliseconds(start.frame.timeLeftMs));
                        },
                        [this](const AbortUpstreamRequest &abort) { m_upstreamClient.abort(abort.localId); },
-                       [this](const SendAnswer &answer) {
-                           m_links.sendOn(answer.connectionId, answer.frame);
-                           for (const AnswerPartFrame &part : answer.parts) {
-                               m_links.sendOn(answer.connectionId, part);
-                           }
-                       },
+                       [this](SendAnswer &answer) { sendAnswer(answer); },
                        [this](const ClaimWanted &wanted) { run(m_ledger.handle(wanted)); },
                        [this](const ClaimFinished &finished) { run(m_ledger.handle(finished)); },
                        [this](const ClaimAbandoned &abandoned) { run(m_ledger.handle(abandoned)); },
@@ -389,6 +416,26 @@
     }
 }
 
+void RequestTask::sendAnswer(SendAnswer &answer)
+{
+    m_links.sendOn(answer.connectionId, answer.frame);
+    run(m_transfers.start(answer.connectionId, std::move(answer.parts)));
+}
+
+void RequestTask::run(std::vector<SendPart> parts)
+{
+    for (const SendPart &part : parts) {
+        m_links.sendOn(part.connectionId, part.frame);
+    }
+}
+
+void RequestTask::receiveRequest(const PeerFrameReceived &received, const RequestFrame &frame)
+{
+    constexpr double Megabyte = 1e6;
+    run(m_gate.handle(TransferBacklog {m_transfers.backlog(), m_transfers.timeFor(Megabyte)}));
+    run(m_gate.handle(PeerRequest {received.connectionId, frame, received.proxyId == m_settings.proxyId}));
+}
+
 void RequestTask::run(std::vector<ClaimOutput> outputs)
 {
     for (ClaimOutput &output : outputs) {
@@ -426,7 +473,7 @@
     std::optional<TimePoint> next = earliestDeadline({m_coordinator.nextDeadline(), m_gate.nextDeadline(), m_ledger.nextDeadline()});
     if (m_isDraining && !m_isDrainReported) {
         const bool isIdle = m_isGateDrained && m_ledger.isIdle() && m_coordinator.inFlight() == 0 && m_callers.requestsOpen() == 0
-            && !m_links.hasQueuedBytes() && !isLingering();
+            && !m_links.hasQueuedBytes() && m_transfers.isIdle() && !isLingering();
         if (isIdle) {
             m_isDrainReported = true;
             m_onEvent(RequestsDrained {});
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -152,6 +152,7 @@
     void startCall(HttpRequest request);
     Result<std::shared_ptr<const Route>> tryResolve(const Call &call);
     bool isLingering() const;
+    void receiveRequest(const PeerFrameReceived &received, const RequestFrame &frame);
     void refuseCall(std::uint64_t token, const Error &error);
     void finishCall(const CallAnswer &answer);
     void handleUpstream(UpstreamClientEvent event);
@@ -160,6 +161,8 @@
     void run(std::vector<CoordinatorOutput> outputs);
     void run(std::vector<GateOutput> outputs);
     void run(std::vector<ClaimOutput> outputs);
+    void run(std::vector<SendPart> parts);
+    void sendAnswer(SendAnswer &answer);
     void runDue();
     void finishTurn();
     void updateGauges();
@@ -185,6 +188,7 @@
     UpstreamSelector m_selector;
     RequestCoordinator m_coordinator;
     UpstreamGate m_gate;
+    AnswerTransfers m_transfers;
     ClaimLedger m_ledger;
     bool m_isGateDrained = false;
 
--- a/Libraries/LibRequest/GateInput.h
+++ b/Libraries/LibRequest/GateInput.h
@@ -32,11 +32,22 @@
     std::uint32_t permille = 0;
 };
 
+/// How long large answers wait to leave the instance. Told before a PeerRequest where it matters.
+struct TransferBacklog
+{
+    /// Until a further large answer could begin to leave.
+    Duration wait {0};
+    /// For each megabyte.
+    Duration perMegabyte {0};
+};
+
 /// A request from a caller side proxy.
 struct PeerRequest
 {
     std::uint64_t connectionId = 0;
     RequestFrame frame;
+    /// The caller side is this proxy, so that the answer crosses no link.
+    bool isLocal = false;
 };
 
 struct PeerCancel
@@ -89,6 +100,7 @@
 using GateInput = std::variant<UpstreamAnnounced,
     UpstreamLost,
     UpstreamLoadReported,
+    TransferBacklog,
     PeerRequest,
     PeerCancel,
     PeerDisconnected,
--- a/Libraries/LibRequest/GateOutput.h
+++ b/Libraries/LibRequest/GateOutput.h
@@ -17,6 +17,8 @@
 {
     LocalId localId = 0;
     RequestFrame frame;
+    /// Time since the request arrived at the gate.
+    Duration waited {0};
 };
 
 /// Stop the run; its end is still reported by UpstreamFailed or UpstreamAnswer.
--- a/Libraries/LibRequest/LibRequest.h
+++ b/Libraries/LibRequest/LibRequest.h
@@ -2,7 +2,9 @@
 
 // The public header of LibRequest: the life of a request on the caller side and on the upstream side.
 
+#include <LibRequest/AdmissionQueue.h>
 #include <LibRequest/AnswerAssembly.h>
+#include <LibRequest/AnswerTransfers.h>
 #include <LibRequest/ClaimLedger.h>
 #include <LibRequest/ClaimMessages.h>
 #include <LibRequest/ClaimRecord.h>
@@ -13,4 +15,5 @@
 #include <LibRequest/PriorityHeader.h>
 #include <LibRequest/RequestCoordinator.h>
 #include <LibRequest/RequestCounts.h>
+#include <LibRequest/ServiceTimes.h>
 #include <LibRequest/UpstreamGate.h>
--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -38,6 +38,7 @@
     LoadReport report {capacity(), m_running, static_cast<std::uint32_t>(waiting()), m_reportedPermille};
     report.serviceMs = static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(m_serviceTimes.mean()).count());
     report.failurePermille = static_cast<std::uint32_t>(m_serviceTimes.failureShare() * PermilleOfAll);
+    report.transferMs = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_transferBacklog.wait).count());
     return report;
 }
 
@@ -85,6 +86,11 @@
     m_reportedPermille = reported.permille;
 }
 
+void UpstreamGate::apply(const TransferBacklog &backlog)
+{
+    m_transferBacklog = backlog;
+}
+
 void UpstreamGate::apply(const PeerRequest &request)
 {
     const RequestKey key(request.connectionId, request.frame.requestId);
@@ -105,6 +111,7 @@
     entry.dueAt = hasTarget ? std::min(entry.deadline, m_clock.now() + std::chrono::milliseconds(request.frame.targetLeftMs)) : entry.deadline;
     entry.service = m_serviceTimes.meanOf(request.frame.selector);
     entry.isIsolated = request.frame.isIsolated;
+    entry.isLocal = request.isLocal;
     m_byRequest.emplace(key, localId);
     if (const std::optional<Error> error = refusal(entry)) {
         dropNotRun(localId, error->code, error->detail);
@@ -165,6 +172,7 @@
         m_serviceTimes.recordFailure(entry.frame.selector, elapsed);
     } else {
         m_serviceTimes.recordSuccess(entry.frame.selector, elapsed);
+        m_answerSizes.record(entry.frame.selector, upstreamAnswer.body.size());
     }
     m_suspects.recordCompletion(entry.fingerprint, m_isolatedRun == upstreamAnswer.localId);
     if (entry.hasClaim) {
@@ -298,6 +306,11 @@
     if (entry.isIsolated && m_isolatedQueue.size() >= m_settings.maximumIsolated) {
         return Error {ErrorCode::UpstreamBusy, "isolated requests wait already"};
     }
+    // A run whose answer cannot leave in time only takes a slot and a place on the link.
+    const Duration transfer = expectedTransfer(entry);
+    if (transfer.count() > 0 && m_clock.now() + entry.service + transfer > entry.dueAt) {
+        return Error {ErrorCode::UpstreamBusy, "large answers wait to leave the instance"};
+    }
     const bool canStartNow = m_running < capacity() && waiting() == 0;
     if (canStartNow) {
         return std::nullopt;
@@ -322,6 +335,17 @@
     return std::nullopt;
 }
 
+Duration UpstreamGate::expectedTransfer(const Entry &entry) const
+{
+    constexpr double BytesPerMegabyte = 1e6;
+    const double bytes = m_answerSizes.meanOf(entry.frame.selector);
+    if (entry.isLocal || bytes < static_cast<double>(m_settings.partBytes)) {
+        return Duration(0);
+    }
+    const double own = bytes / BytesPerMegabyte * static_cast<double>(m_transferBacklog.perMegabyte.count());
+    return m_transferBacklog.wait + Duration(static_cast<Duration::rep>(own));
+}
+
 bool UpstreamGate::hasFailed(const UpstreamAnswer &upstreamAnswer) const
 {
     constexpr std::uint16_t FirstServerErrorStatus = 500;
@@ -433,7 +457,7 @@
     setWake(localId, entry, entry.deadline);
     entry.frame.timeLeftMs = static_cast<std::uint32_t>(
         std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(entry.deadline - m_clock.now()).count()));
-    m_outputs.emplace_back(StartUpstreamRequest {localId, entry.frame});
+    m_outputs.emplace_back(StartUpstreamRequest {localId, entry.frame, m_clock.now() - entry.arrivedAt});
     entry.frame.body.clear();
 }
 
@@ -530,13 +554,16 @@
     frame.bodyLength = frame.body.size();
     SendAnswer output;
     output.connectionId = entry.connectionId;
-    for (std::size_t offset = m_settings.partBytes; offset < frame.body.size(); offset += m_settings.partBytes) {
+    const bool isLarge = frame.body.size() > m_settings.partBytes;
+    for (std::size_t offset = 0; isLarge && offset < frame.body.size(); offset += m_settings.partBytes) {
         output.parts.push_back({entry.frame.requestId,
             offset,
             frame.body.substr(offset, m_settings.partBytes),
             offset + m_settings.partBytes >= frame.body.size()});
     }
-    frame.body.resize(std::min(frame.body.size(), m_settings.partBytes));
+    if (isLarge) {
+        frame.body.clear();
+    }
     output.frame = std::move(frame);
     m_outputs.emplace_back(std::move(output));
 }
--- a/Libraries/LibRequest/UpstreamGate.h
+++ b/Libraries/LibRequest/UpstreamGate.h
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/RouteRules.h>
 #include <LibRequest/AdmissionQueue.h>
+#include <LibRequest/AnswerSizes.h>
 #include <LibRequest/GateInput.h>
 #include <LibRequest/GateOutput.h>
 #include <LibRequest/RequestCounts.h>
@@ -30,8 +31,8 @@
         Duration maximumQueueTime = std::chrono::milliseconds(500);
         /// Isolated requests that wait at once. Each stops all other work for its run.
         std::size_t maximumIsolated = 2;
-        /// First part of an answer's body and each further part, in bytes.
-        std::size_t partBytes = 64ULL * 1024;
+        /// A longer body is large, and travels in parts of this many bytes that are paced.
+        std::size_t partBytes = 8ULL * 1024;
         ServiceTimes::Settings serviceTimes;
         /// Failures within this time before UpstreamCrashed belong to the crash.
         Duration crashWindow = std::chrono::milliseconds(500);
@@ -78,6 +79,7 @@
         /// When advance() looks at the entry.
         std::optional<TimePoint> wakeAt;
         bool hasClaim = false;
+        bool isLocal = false;
         bool isIsolated = false;
         /// As the upstream had announced it when the run started; it may have left before it answers.
         bool doRefusalsMeanNotRun = false;
@@ -91,6 +93,7 @@
     void apply(const UpstreamAnnounced &announced);
     void apply(const UpstreamLost &lost);
     void apply(const UpstreamLoadReported &reported);
+    void apply(const TransferBacklog &backlog);
     void apply(const PeerRequest &request);
     void apply(const PeerCancel &cancel);
     void apply(const PeerDisconnected &disconnected);
@@ -109,6 +112,7 @@
     std::optional<Error> refusalToQueue(const Entry &entry);
     static AdmissionQueue::Entry queueEntry(LocalId localId, const Entry &entry);
     bool hasFailed(const UpstreamAnswer &answer) const;
+    Duration expectedTransfer(const Entry &entry) const;
     void enqueue(LocalId localId, Entry &entry);
     void startWaiting();
     std::optional<LocalId> takeNext();
@@ -154,6 +158,8 @@
     std::uint32_t m_runsSinceIsolated = 0;
     bool m_hasRunIsolated = false;
     ServiceTimes m_serviceTimes;
+    AnswerSizes m_answerSizes;
+    TransferBacklog m_transferBacklog;
     struct Failure
     {
         TimePoint at;
--- a/Libraries/LibRouting/LoadEstimate.cpp
+++ b/Libraries/LibRouting/LoadEstimate.cpp
@@ -32,6 +32,7 @@
     if (report.serviceMs > 0) {
         upstream.serviceTime = std::chrono::milliseconds(report.serviceMs);
     }
+    upstream.transfer = std::chrono::milliseconds(report.transferMs);
     constexpr double PermilleOfAll = 1000;
     upstream.failureShare = std::min(1.0, report.failurePermille / PermilleOfAll);
 }
@@ -86,6 +87,8 @@
         const auto difference = static_cast<double>((*found->second.serviceTime - typicalService).count());
         expected.service = typicalService + Duration(static_cast<Duration::rep>(difference * weight));
     }
+    const double backlogWeight = weightAfter(m_clock.now() - found->second.reportedAt, m_settings.halfLife);
+    expected.transfer = Duration(static_cast<Duration::rep>(static_cast<double>(found->second.transfer.count()) * backlogWeight));
     const double slots = std::max(1U, endpoint.slots);
     const double ahead = std::max(0.0, load(endpoint) * slots + 1 - slots);
     expected.wait = Duration(static_cast<Duration::rep>(ahead * static_cast<double>(expected.service.count()) / slots));
--- a/Libraries/LibRouting/LoadEstimate.h
+++ b/Libraries/LibRouting/LoadEstimate.h
@@ -41,6 +41,8 @@
         Duration service {0};
         /// From 0 to 1.
         double failureShare = 0;
+        /// Until a large answer could begin to leave the upstream's instance.
+        Duration transfer {0};
     };
 
     LoadEstimate(const Settings &settings, const Clock &clock);
@@ -73,6 +75,7 @@
         TimePoint reportedAt;
         std::optional<Duration> serviceTime;
         double failureShare = 0;
+        Duration transfer {0};
     };
 
     static double weightAfter(Duration age, Duration halfLife);
--- a/Libraries/LibRouting/PlacementPolicy.cpp
+++ b/Libraries/LibRouting/PlacementPolicy.cpp
@@ -57,7 +57,9 @@
     candidate.position = position;
     candidate.wait = expected.wait;
     candidate.isEjected = m_ejections.isEjected(endpoint);
-    candidate.cost = expected.wait + service + scaled(service, m_settings.fullnessShare * std::min(1.0, m_load.load(endpoint)))
+    const bool waitsToLeave = request.answerBytes >= m_settings.largeAnswerBytes && endpoint.proxyId != m_settings.proxyId;
+    const Duration transfer = waitsToLeave ? expected.transfer : Duration(0);
+    candidate.cost = expected.wait + transfer + service + scaled(service, m_settings.fullnessShare * std::min(1.0, m_load.load(endpoint)))
         + scaled(request.target, expected.failureShare) + distance(endpoint, request.answerBytes)
         + scaled(service, m_settings.spread * m_random.unit());
     return candidate;
@@ -65,10 +67,14 @@
 
 Duration PlacementPolicy::distance(const Endpoint &endpoint, double answerBytes) const
 {
-    if (endpoint.dataCentre == m_settings.dataCentre) {
+    if (endpoint.proxyId == m_settings.proxyId) {
         return Duration(0);
     }
     constexpr double MicrosecondsPerSecond = 1e6;
+    if (endpoint.dataCentre == m_settings.dataCentre) {
+        // An answer of the own instance crosses no link at all.
+        return Duration(static_cast<Duration::rep>(answerBytes / m_settings.localBytesPerSecond * MicrosecondsPerSecond));
+    }
     const auto transfer = static_cast<Duration::rep>(answerBytes / m_settings.remoteBytesPerSecond * MicrosecondsPerSecond);
     return Duration(transfer) + (endpoint.region == m_settings.region ? m_settings.otherDataCentre : m_settings.otherRegion);
 }
--- a/Libraries/LibRouting/PlacementPolicy.h
+++ b/Libraries/LibRouting/PlacementPolicy.h
@@ -28,8 +28,11 @@
 public:
     struct Settings
     {
+        std::string proxyId;
         std::string dataCentre;
         std::string region;
+        /// An answer of this size or more is large: it waits behind others to leave the instance of its upstream.
+        double largeAnswerBytes = 8.0 * 1024;
         /// Added for an upstream in another data centre of the region: two crossings and the work of an idle link.
         Duration otherDataCentre = std::chrono::milliseconds(5);
         /// Added for an upstream in another region.
@@ -37,6 +40,8 @@
         /// Bytes of answers that count as much as a second of delay when they leave the data centre, because the links
         /// between data centres are shared and paid for.
         double remoteBytesPerSecond = 500'000;
+        /// The same for answers that leave the instance and stay in the data centre.
+        double localBytesPerSecond = 2'000'000;
         /// Random share of the service time added to each estimate, so that callers with equal reports spread.
         double spread = 0.1;
         /// Work that fits the slots still slows an upstream that is nearly full, by this share of its service time.
--- a/Libraries/LibRouting/UpstreamSelector.cpp
+++ b/Libraries/LibRouting/UpstreamSelector.cpp
@@ -10,6 +10,7 @@
 static PlacementPolicy::Settings placementSettings(const UpstreamSelector::Settings &settings)
 {
     PlacementPolicy::Settings placements;
+    placements.proxyId = settings.proxyId;
     placements.dataCentre = settings.dataCentre;
     placements.region = settings.region;
     placements.maximumProbes = settings.maximumProbes;
--- a/Libraries/LibRouting/UpstreamSelector.h
+++ b/Libraries/LibRouting/UpstreamSelector.h
@@ -22,6 +22,7 @@
     {
         std::string dataCentre;
         std::string region;
+        std::string proxyId = {};
         /// Endpoints looked at in each locality tier at most.
         std::size_t maximumProbes = 64;
         /// Routes whose index is kept.
--- a/Libraries/LibWire/Frame.h
+++ b/Libraries/LibWire/Frame.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibWire/AnswerFrame.h>
+#include <LibWire/AnswerPartAckFrame.h>
 #include <LibWire/AnswerPartFrame.h>
 #include <LibWire/CancelFrame.h>
 #include <LibWire/ConfigurationAckFrame.h>
@@ -23,6 +24,7 @@
     AnswerFrame,
     AnswerPartFrame,
     CancelFrame,
+    AnswerPartAckFrame,
     ConfigurationPushFrame,
     ConfigurationAckFrame,
     ConfigurationPullFrame,
--- a/Libraries/LibWire/FrameCodec.cpp
+++ b/Libraries/LibWire/FrameCodec.cpp
@@ -33,6 +33,10 @@
 {
     reader.takeAll(frame.requestId);
 }
+void readFields(FrameReader &reader, AnswerPartAckFrame &frame)
+{
+    reader.takeAll(frame.requestId, frame.end);
+}
 void readFields(FrameReader &reader, ConfigurationPushFrame &frame)
 {
     reader.takeAll(frame.baseVersion, frame.targetVersion, frame.baseDigest, frame.targetDigest);
@@ -87,6 +91,8 @@
         return tryReadFrame<AnswerPartFrame>(reader);
     case FrameType::Cancel:
         return tryReadFrame<CancelFrame>(reader);
+    case FrameType::AnswerPartAck:
+        return tryReadFrame<AnswerPartAckFrame>(reader);
     case FrameType::ConfigurationPush:
         return tryReadFrame<ConfigurationPushFrame>(reader);
     case FrameType::ConfigurationAck:
--- a/Libraries/LibWire/FrameReader.h
+++ b/Libraries/LibWire/FrameReader.h
@@ -89,6 +89,7 @@
         numbers.take(load.reportedPermille);
         numbers.take(load.serviceMs);
         numbers.take(load.failurePermille);
+        numbers.take(load.transferMs);
         m_isOk = m_isOk && numbers.ok();
     }
     void take(RequestOutcome &outcome)
--- a/Libraries/LibWire/FrameType.cpp
+++ b/Libraries/LibWire/FrameType.cpp
@@ -10,6 +10,7 @@
     FrameTypeInfo {FrameType::Answer, "Answer", 10},
     FrameTypeInfo {FrameType::AnswerPart, "AnswerPart", 5},
     FrameTypeInfo {FrameType::Cancel, "Cancel", 2},
+    FrameTypeInfo {FrameType::AnswerPartAck, "AnswerPartAck", 3},
     FrameTypeInfo {FrameType::ConfigurationPush, "ConfigurationPush", 8},
     FrameTypeInfo {FrameType::ConfigurationAck, "ConfigurationAck", 3},
     FrameTypeInfo {FrameType::ConfigurationPull, "ConfigurationPull", 3},
--- a/Libraries/LibWire/FrameType.h
+++ b/Libraries/LibWire/FrameType.h
@@ -13,6 +13,7 @@
     Answer = 3,
     AnswerPart = 4,
     Cancel = 5,
+    AnswerPartAck = 6,
     ConfigurationPush = 10,
     ConfigurationAck = 11,
     ConfigurationPull = 12,
--- a/Libraries/LibWire/FrameWriter.h
+++ b/Libraries/LibWire/FrameWriter.h
@@ -13,7 +13,7 @@
 namespace Fuchsiastep {
 
 /// Numbers in the array of a load report.
-constexpr std::uint32_t LoadReportFields = 6;
+constexpr std::uint32_t LoadReportFields = 7;
 
 /// Appends the fields of frames to one msgpack array.
 class FrameWriter
@@ -72,6 +72,7 @@
         put(load.reportedPermille);
         put(load.serviceMs);
         put(load.failurePermille);
+        put(load.transferMs);
     }
 
     void write(const HelloFrame &frame)
@@ -128,6 +129,12 @@
         begin(FrameType::Cancel);
         put(frame.requestId);
     }
+    void write(const AnswerPartAckFrame &frame)
+    {
+        begin(FrameType::AnswerPartAck);
+        put(frame.requestId);
+        put(frame.end);
+    }
     void write(const ConfigurationPushFrame &frame)
     {
         begin(FrameType::ConfigurationPush);
--- a/Libraries/LibWire/LoadReport.h
+++ b/Libraries/LibWire/LoadReport.h
@@ -16,6 +16,8 @@
     std::uint32_t serviceMs = 0;
     /// Recent share of runs that failed, in thousandths.
     std::uint32_t failurePermille = 0;
+    /// Time until a further large answer could begin to leave the instance.
+    std::uint32_t transferMs = 0;
 
     bool operator==(const LoadReport &) const = default;
 };
--- /dev/null
+++ b/Tests/LibConfiguration/TestDocumentReader.cpp
@@ -0,0 +1,147 @@
+#include <LibConfiguration/LibConfiguration.h>
+#include <Support/FakePlatform.h>
+#include <Support/SeededQueue.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+
+namespace Fuchsiastep {
+
+class TestDocumentReader : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestDocumentReader);
+    CPPUNIT_TEST(testEveryDocumentIsFoundThroughOutages);
+    CPPUNIT_TEST(testWantedDocumentIsReadWhileWatching);
+    CPPUNIT_TEST(testHostRoutes);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr const char *Key = "op/config";
+
+    // Guards against a document that is missed after a failure, a lost answer or a dropped history, and against a reader that
+    // asks an unreachable platform in a busy loop. Outages come at random; after each the newest document must be found.
+    void testEveryDocumentIsFoundThroughOutages()
+    {
+        for (std::uint64_t seed = 0; seed < 200; ++seed) {
+            Clock clock = Clock::manual();
+            Random random(seed);
+            FakePlatform platform(random);
+            DocumentReader reader({Key}, clock, random);
+            SeededQueue<std::function<void()>> queue(clock, random, {});
+            std::string found;
+            std::size_t calls = 0;
+            std::function<void(std::vector<DocumentReaderOutput>)> apply = [&](std::vector<DocumentReaderOutput> outputs) {
+                for (DocumentReaderOutput &output : outputs) {
+                    if (auto *call = std::get_if<PlatformCall>(&output)) {
+                        ++calls;
+                        PlatformResponse response = random.chance(0.05) && std::holds_alternative<WatchRows>(call->request)
+                            ? PlatformResponse(HistoryGone {})
+                            : platform.handle(call->request);
+                        queue.schedule([&, id = call->id, response = std::move(response)] { apply(reader.handle(PlatformReply {id, response})); },
+                            std::chrono::milliseconds(4));
+                    } else if (const auto *document = std::get_if<DocumentFound>(&output)) {
+                        found = document->content;
+                    }
+                }
+                if (const auto next = reader.nextDeadline()) {
+                    queue.schedule([&] { apply(reader.advance()); }, std::max(Duration(0), *next - clock.now()));
+                }
+            };
+            apply(reader.advance());
+            for (int version = 1; version <= 10; ++version) {
+                platform.setFaults({});
+                platform.execute(Transaction {{}, {{Key, "document " + std::to_string(version)}}});
+                FakePlatform::Faults faults;
+                faults.downProbability = random.chance(0.5) ? 1 : 0.3;
+                platform.setFaults(faults);
+                runUntil(queue, clock.now() + random.jitter(std::chrono::seconds(3)));
+                platform.setFaults({});
+                runUntil(queue, clock.now() + std::chrono::milliseconds(1500));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), "document " + std::to_string(version), found);
+            }
+            const double seconds = std::chrono::duration<double>(clock.now() - TimePoint(std::chrono::seconds(1000))).count();
+            // This stand-in answers a watch at once, so that the pause between watches bounds the calls.
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), static_cast<double>(calls) < seconds * 25 + 50);
+        }
+    }
+
+    static void runUntil(SeededQueue<std::function<void()>> &queue, TimePoint end)
+    {
+        while (const auto event = queue.next(end)) {
+            (*event)();
+        }
+    }
+
+    // Guards against a paused proxy that waits for the end of a watch that was started before the pause.
+    void testWantedDocumentIsReadWhileWatching()
+    {
+        Clock clock = Clock::manual();
+        Random random(1);
+        DocumentReader reader({Key}, clock, random);
+        const auto first = reader.advance();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.size());
+        reader.handle(PlatformReply {std::get<PlatformCall>(first[0]).id, Rows {{{Key, 3, "a"}}, 9}});
+        const auto watch = reader.advance();
+        CPPUNIT_ASSERT(std::holds_alternative<WatchRows>(std::get<PlatformCall>(watch.at(0)).request));
+        CPPUNIT_ASSERT(reader.handle(DocumentWanted {}).empty());
+        const auto read = reader.advance();
+        CPPUNIT_ASSERT(std::holds_alternative<ReadRows>(std::get<PlatformCall>(read.at(0)).request));
+        const auto found = reader.handle(PlatformReply {std::get<PlatformCall>(read[0]).id, Rows {{{Key, 5, "b"}}, 10}});
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), std::get<DocumentFound>(found.at(0)).content);
+        CPPUNIT_ASSERT_MESSAGE("the watch goes on", !reader.nextDeadline());
+    }
+
+    // Guards against a request that takes a shorter prefix than it could, or a route of another host.
+    void testHostRoutes()
+    {
+        std::vector<DeclaredObject> objects {ServiceDeclaration {"desk", {}}};
+        const auto add = [&](const std::string &name, const std::string &host, const std::string &prefix) {
+            Selector selector;
+            selector.name = name;
+            selector.service = "desk";
+            selector.host = host;
+            selector.pathPrefix = prefix;
+            objects.emplace_back(selector);
+        };
+        add("all", "a.example", "/");
+        add("orders", "a.example", "/orders/");
+        add("open", "a.example", "/orders/open/");
+        add("open.split", "a.example", "/orders/open/");
+        add("other", "b.example", "/orders/");
+        add("unnamed", "", "/");
+        ConfigurationHolder holder;
+        CPPUNIT_ASSERT(!isError(holder.tryApplyDelta(ConfigurationDelta::between(*holder.current(), objects, 7))));
+        const View::Pointer view = View::empty()->withConfiguration(holder.current());
+        struct Case
+        {
+            std::string host;
+            std::string path;
+            std::string expected;
+            std::size_t parts;
+        };
+        const std::vector<Case> cases {
+            {"a.example", "/orders/open/1", "open", 2},
+            {"a.example", "/orders/open", "orders", 1},
+            {"a.example", "/orders/x/y", "orders", 1},
+            {"a.example", "/orders", "all", 1},
+            {"b.example", "/orders/1", "other", 1},
+            {"b.example", "/", "", 0},
+            {"c.example", "/orders/", "", 0},
+            {"", "/", "", 0},
+        };
+        for (const Case &item : cases) {
+            const auto route = view->tryResolveHost(item.host, item.path);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.host + item.path, item.expected.empty(), isError(route));
+            if (!isError(route)) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(item.path, item.expected, valueOf(route)->parts.front().selector);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(item.path, item.parts, valueOf(route)->parts.size());
+                CPPUNIT_ASSERT_MESSAGE(item.path, view->routeOf("desk", item.expected) != nullptr);
+            }
+        }
+        CPPUNIT_ASSERT(view->routeOf("desk", "missing") == nullptr);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestDocumentReader);
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Tests/LibProxy/TestAnnouncementOrder.cpp
@@ -0,0 +1,75 @@
+#include <LibProxy/AnnouncementOrder.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+namespace Fuchsiastep {
+
+class TestAnnouncementOrder : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestAnnouncementOrder);
+    CPPUNIT_TEST(testLateAnnouncements);
+    CPPUNIT_TEST_SUITE_END();
+
+    enum class Kind {
+        Ready,
+        Draining,
+        Departure,
+    };
+    struct Step
+    {
+        Kind kind;
+        std::string upstream;
+        std::int64_t started;
+        std::uint64_t sequence;
+        bool isAccepted;
+        bool isDraining;
+    };
+
+    // Guards against late announcements that bring a leaving upstream back or end the one that took its place.
+    void testLateAnnouncements()
+    {
+        const std::vector<std::pair<std::string, std::vector<Step>>> histories {
+            {"in order", {{Kind::Ready, "u", 10, 1, true, false}, {Kind::Ready, "u", 10, 2, true, false}}},
+            {"late copy", {{Kind::Ready, "u", 10, 2, true, false}, {Kind::Ready, "u", 10, 1, false, false}, {Kind::Ready, "u", 10, 2, false, false}}},
+            {"late ready after draining",
+                {{Kind::Ready, "u", 10, 1, true, false},
+                    {Kind::Draining, "u", 10, 3, true, true},
+                    {Kind::Ready, "u", 10, 2, false, false},
+                    {Kind::Ready, "u", 10, 4, true, true}}},
+            {"ready after departure",
+                {{Kind::Ready, "u", 10, 1, true, false}, {Kind::Departure, "u", 10, 0, true, true}, {Kind::Ready, "u", 10, 2, true, true}}},
+            {"new start of the same id",
+                {{Kind::Draining, "u", 10, 5, true, true}, {Kind::Ready, "u", 20, 1, true, false}, {Kind::Ready, "u", 10, 9, false, false}}},
+            {"departure of an earlier start", {{Kind::Ready, "u", 20, 1, true, false}, {Kind::Departure, "u", 10, 0, false, false}}},
+            {"departure of another upstream", {{Kind::Ready, "v", 20, 1, true, false}, {Kind::Departure, "u", 10, 0, false, false}}},
+            {"replacement", {{Kind::Ready, "u", 10, 7, true, false}, {Kind::Ready, "v", 20, 1, true, false}, {Kind::Ready, "u", 10, 8, false, false}}},
+            {"departure before anything else", {{Kind::Departure, "u", 10, 0, true, true}, {Kind::Ready, "u", 10, 4, true, true}}},
+        };
+        for (const auto &[name, steps] : histories) {
+            AnnouncementOrder order;
+            for (std::size_t i = 0; i < steps.size(); ++i) {
+                const Step &step = steps[i];
+                const std::string message = name + ", step " + std::to_string(i);
+                const UpstreamLifetime lifetime {step.started, step.sequence};
+                if (step.kind == Kind::Departure) {
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(message, step.isAccepted, order.acceptDeparture(step.upstream, lifetime));
+                    continue;
+                }
+                UpstreamAnnouncement announcement;
+                announcement.upstreamId = step.upstream;
+                announcement.lifetime = lifetime;
+                announcement.isDraining = step.kind == Kind::Draining;
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, step.isAccepted, order.accept(announcement));
+                if (step.isAccepted) {
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(message, step.isDraining, announcement.isDraining);
+                }
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestAnnouncementOrder);
+
+} // namespace Fuchsiastep
--- /dev/null
+++ b/Tests/LibRequest/TestAdmissionQueue.cpp
@@ -0,0 +1,95 @@
+#include <LibRequest/AdmissionQueue.h>
+
+#include <LibCore/Random.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <vector>
+
+namespace Fuchsiastep {
+
+class TestAdmissionQueue : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestAdmissionQueue);
+    CPPUNIT_TEST(testOrder);
+    CPPUNIT_TEST(testUrgentFloodStarvesNobody);
+    CPPUNIT_TEST(testWorkAheadMatchesFullScan);
+    CPPUNIT_TEST_SUITE_END();
+
+    static AdmissionQueue::Entry entry(LocalId id, RequestPriority priority, int dueMs, int serviceMs = 100)
+    {
+        return {id, priority, TimePoint(std::chrono::milliseconds(dueMs)), std::chrono::milliseconds(serviceMs)};
+    }
+
+    // Guards against urgent requests behind others, and against requests that miss their time behind later ones.
+    void testOrder()
+    {
+        AdmissionQueue queue;
+        queue.push(entry(1, RequestPriority::Low, 100));
+        queue.push(entry(2, RequestPriority::High, 900));
+        queue.push(entry(3, RequestPriority::High, 300));
+        queue.push(entry(4, RequestPriority::Normal, 200));
+        CPPUNIT_ASSERT(queue.leastUrgentBelow(RequestPriority::High) == LocalId(1));
+        CPPUNIT_ASSERT(!queue.leastUrgentBelow(RequestPriority::Low));
+        for (const LocalId expected : {3, 2, 4, 1}) {
+            CPPUNIT_ASSERT(queue.pop() == expected);
+        }
+        CPPUNIT_ASSERT(!queue.pop() && queue.isEmpty());
+    }
+
+    // Guards against a kind of request that gets nothing while urgent ones fill the upstream.
+    void testUrgentFloodStarvesNobody()
+    {
+        AdmissionQueue queue;
+        LocalId next = 1;
+        std::map<bool, int> starts;
+        for (int step = 0; step < 1000; ++step) {
+            // Twice as much arrives as starts; the low ones are due first because they have waited longest.
+            queue.push(entry(next * 2, RequestPriority::High, 1000 + step));
+            queue.push(entry(next * 2 + 1, RequestPriority::Low, 500 + step));
+            ++next;
+            ++starts[*queue.pop() % 2 == 1];
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(starts[true]), starts[true] >= 1000 / 4 / 2);
+        CPPUNIT_ASSERT(starts[false] > starts[true]);
+    }
+
+    // Guards against an estimate that drifts from what is queued, over seeded histories.
+    void testWorkAheadMatchesFullScan()
+    {
+        for (std::uint64_t seed = 0; seed < 300; ++seed) {
+            Random random(seed);
+            AdmissionQueue queue;
+            std::map<LocalId, AdmissionQueue::Entry> naive;
+            for (LocalId id = 1; id <= 120; ++id) {
+                if (random.chance(0.6)) {
+                    const auto item = entry(
+                        id, static_cast<RequestPriority>(random.below(3)), static_cast<int>(random.below(50)), 1 + static_cast<int>(random.below(300)));
+                    queue.push(item);
+                    naive[id] = item;
+                } else if (random.chance(0.5) && !naive.empty()) {
+                    const auto removed = std::next(naive.begin(), static_cast<std::ptrdiff_t>(random.below(naive.size())));
+                    queue.remove(removed->second);
+                    naive.erase(removed);
+                } else if (const auto popped = queue.pop()) {
+                    naive.erase(*popped);
+                }
+                const auto priority = static_cast<RequestPriority>(random.below(3));
+                const TimePoint dueAt {std::chrono::milliseconds(static_cast<int>(random.below(50)))};
+                Duration expected {0};
+                for (const auto &[key, item] : naive) {
+                    const bool isAhead = item.priority > priority || (item.priority == priority && item.dueAt <= dueAt);
+                    expected += isAhead ? item.service : Duration(0);
+                }
+                const std::string message = "seed " + std::to_string(seed);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, expected.count(), queue.workAhead(priority, dueAt).count());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, naive.size(), queue.size());
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestAdmissionQueue);
+
+} // namespace Fuchsiastep
--- a/Tests/LibWire/TestFrames.cpp
+++ b/Tests/LibWire/TestFrames.cpp
@@ -15,17 +15,25 @@
     request.key = "batch-1";
     request.timeLeftMs = 250;
     request.body = std::string("\0binary", 7);
+    request.selector = "night-orders";
+    request.targetLeftMs = 200;
+    request.maximumWaitMs = 20;
+    request.traceId = "9c41";
     AnswerFrame answer;
     answer.requestId = 7;
     answer.outcome = RequestOutcome::NotRun;
     answer.code = ErrorCode::Draining;
     answer.status = 503;
     answer.load = {6, 2, 1, 400};
+    answer.load.serviceMs = 120;
+    answer.load.failurePermille = 30;
+    answer.load.transferMs = 250;
     return {HelloFrame {1, "p1", 99, "toowoomba"},
         request,
         answer,
         AnswerPartFrame {7, 65536, "part", true},
         CancelFrame {7},
+        AnswerPartAckFrame {7, 65540},
         ConfigurationPushFrame {1, 2, Digest::of("a"), Digest::of("b"), "delta", 10, 20},
         ConfigurationAckFrame {2, true},
         ConfigurationPullFrame {1, Digest::of("a")},
--- /dev/null
+++ b/Tests/platform/TestPlatformCodecs.cpp
@@ -0,0 +1,250 @@
+#include <platform/AnnouncementCodec.h>
+#include <platform/CallCodec.h>
+#include <platform/DocumentCodec.h>
+#include <platform/StoreCodec.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+namespace Fuchsiastep {
+
+using namespace PlatformAdapter;
+
+class TestPlatformCodecs : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestPlatformCodecs);
+    CPPUNIT_TEST(testHeartbeats);
+    CPPUNIT_TEST(testDocuments);
+    CPPUNIT_TEST(testStatusesTellTheTruth);
+    CPPUNIT_TEST(testUpstreamRequest);
+    CPPUNIT_TEST(testAnswersOfOtherRequests);
+    CPPUNIT_TEST(testStoreCalls);
+    CPPUNIT_TEST(testStoreAnswers);
+    CPPUNIT_TEST_SUITE_END();
+
+    static UpstreamSettings upstream()
+    {
+        UpstreamSettings settings;
+        settings.address = SocketAddress {"10.0.0.9", 8080};
+        settings.service = "desk";
+        return settings;
+    }
+
+    static ControlMessage control(const std::string &path, const std::string &body)
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.path = path;
+        request.body = body;
+        return readControl(request, upstream());
+    }
+
+    // Guards against heartbeats of other writers that put an upstream into service.
+    void testHeartbeats()
+    {
+        const std::string info = R"("info":{"service":"desk","version":"v1","zone":"z","maxConcurrency":6})";
+        const std::string status = R"("status":{"state":"ready","sequence":4,"coldLeftMs":2500})";
+        const std::string address = R"("address":"10.0.0.9:8080")";
+        const ControlMessage good = control("/-/instances/i-7/heartbeat", '{' + address + ",\"born\":77," + info + ',' + status + '}');
+        const auto &announcement = std::get<UpstreamAnnouncement>(good);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-7"), announcement.upstreamId);
+        CPPUNIT_ASSERT_EQUAL(std::string("desk"), announcement.service);
+        CPPUNIT_ASSERT(announcement.slots == 6 && announcement.ageMs == 7500 && !announcement.isDraining);
+        CPPUNIT_ASSERT(announcement.lifetime == (UpstreamLifetime {77, 4}));
+        const std::vector<std::string> bad {
+            "",
+            "[]",
+            "{",
+            '{' + info + ',' + status + '}',
+            '{' + address + ',' + status + '}',
+            '{' + address + ',' + info + '}',
+            R"({"address":"10.0.0.8:8080",)" + info + ',' + status + '}',
+            R"({"address":7,)" + info + ',' + status + '}',
+            '{' + address + ',' + info + R"(,"status":{"state":"resting","sequence":4,"coldLeftMs":0}})",
+            '{' + address + ',' + info + R"(,"status":{"state":"ready","sequence":"4","coldLeftMs":0}})",
+            '{' + address + R"(,"info":{"service":"desk","version":"v1","zone":"z","maxConcurrency":0},)" + status + '}',
+            '{' + address + ",\"born\":1.5," + info + ',' + status + '}',
+        };
+        for (const std::string &body : bad) {
+            CPPUNIT_ASSERT_MESSAGE(body, std::holds_alternative<Error>(control("/-/instances/i-7/heartbeat", body)));
+        }
+        const ControlMessage left = control("/-/instances/i-7/deregister", "");
+        CPPUNIT_ASSERT_EQUAL(std::string("i-7"), std::get<UpstreamDeparture>(left).upstreamId);
+        CPPUNIT_ASSERT(std::holds_alternative<std::monostate>(control("/v1/operator/drain", "")));
+    }
+
+    static std::string document(const std::string &routes)
+    {
+        return R"({"version":"r12","services":[{"name":"desk"},{"name":"docs"}],"routes":[)" + routes
+            + R"(],"limits":{"maxHeaderBytes":2000,"maxBodyBytes":3000,"headerTimeoutMs":4000,"idleTimeoutMs":5000}})";
+    }
+
+    // Guards against documents that are taken in part, and against routes that are read with another meaning.
+    void testDocuments()
+    {
+        const std::string plain = R"({"name":"a","host":"h","prefix":"/a/","routeType":"non_idempotent","timeoutMs":1500,)"
+                                  R"("targetLatencyMs":800,"priority":1,"service":"desk","attempts":2})";
+        const std::string split = R"({"name":"b","host":"h","prefix":"/b/","routeType":"download","timeoutMs":900,"priority":4,)"
+                                  R"("weightedServices":[{"service":"desk","weight":90},{"service":"docs","weight":10}],"attempts":1})";
+        const Result<ConfigurationDocument> read = tryReadDocument(document(plain + ',' + split));
+        CPPUNIT_ASSERT(!isError(read));
+        const ConfigurationDocument &content = valueOf(read);
+        CPPUNIT_ASSERT(content.version == 12 && content.objects.size() == 5);
+        const auto &order = std::get<Selector>(content.objects[2]);
+        CPPUNIT_ASSERT(order.host == "h" && order.pathPrefix == "/a/" && order.service == "desk");
+        CPPUNIT_ASSERT(order.rules.repeatability == Repeatability::Never && order.rules.maximumRetries == 1);
+        CPPUNIT_ASSERT(order.rules.priority == RequestPriority::High && !order.rules.isKeyRequired);
+        CPPUNIT_ASSERT(order.rules.targetLatency == std::chrono::milliseconds(800));
+        const auto &part = std::get<Selector>(content.objects[4]);
+        CPPUNIT_ASSERT(part.name == "b.docs" && part.service == "docs" && part.weight == 10);
+        CPPUNIT_ASSERT(part.rules.repeatability == Repeatability::Always && part.rules.priority == RequestPriority::Normal);
+        CPPUNIT_ASSERT(content.callerLimits.sizes.headBytes == 2000 && content.callerLimits.idleTime == std::chrono::seconds(5));
+        const std::vector<std::string> bad {
+            "",
+            "{}",
+            document(plain).substr(0, 200),
+            document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":1,"service":"desk"})"),
+            document(R"({"name":"a","host":"h","prefix":"/a","routeType":"idempotent","timeoutMs":1,"service":"desk","attempts":1})"),
+            document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"other","timeoutMs":1,"service":"desk","attempts":1})"),
+            document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":-1,"service":"desk","attempts":1})"),
+            document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":1,"attempts":1})"),
+            document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":1,"attempts":1,"weightedServices":[{"service":"desk"}]})"),
+        };
+        for (const std::string &text : bad) {
+            CPPUNIT_ASSERT_MESSAGE(text, isError(tryReadDocument(text)));
+        }
+    }
+
+    // Guards against a status that promises "not run" for a request that may have run.
+    void testStatusesTellTheTruth()
+    {
+        for (const ErrorCodeInfo &info : errorCodeTable()) {
+            CallAnswer answer;
+            answer.code = info.code;
+            answer.outcome = RequestOutcome::Unknown;
+            answer.retryAfter = std::chrono::milliseconds(250);
+            const std::uint16_t unknown = formatAnswer(answer).status;
+            CPPUNIT_ASSERT_MESSAGE(std::string(info.name), unknown == 502 || unknown == 504);
+            answer.outcome = RequestOutcome::NotRun;
+            const HttpAnswer notRun = formatAnswer(answer);
+            CPPUNIT_ASSERT_MESSAGE(std::string(info.name), notRun.status >= 400 && notRun.status <= 503 && notRun.status != 502);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(info.name), notRun.status == 503, notRun.headers.contains("retry-after"));
+        }
+        CallAnswer answer;
+        answer.outcome = RequestOutcome::NotRun;
+        answer.code = ErrorCode::UpstreamBusy;
+        answer.retryAfter = std::chrono::milliseconds(1250);
+        CPPUNIT_ASSERT_EQUAL(std::string("1.25"), formatAnswer(answer).headers.at("retry-after"));
+    }
+
+    // Guards against a caller that names itself, and against fields of the product that reach upstreams.
+    void testUpstreamRequest()
+    {
+        HttpRequest incoming;
+        incoming.method = "GET";
+        incoming.target = "/a%2F?b=%41";
+        incoming.headers = {{"host", "h:80"}, {"request-id", "r1"}, {"deadline-ms", "2500.5"}, {"caller-service", "forged"}};
+        const Result<Call> call = tryParseCall(incoming, "desk");
+        CPPUNIT_ASSERT(!isError(call));
+        CPPUNIT_ASSERT(valueOf(call).caller == "desk" && valueOf(call).host == "h" && valueOf(call).traceId == "r1");
+        CPPUNIT_ASSERT(valueOf(call).timeLeft == Duration(2'500'500));
+        RequestFrame frame;
+        frame.method = valueOf(call).method;
+        frame.path = valueOf(call).path;
+        frame.headers = valueOf(call).headers;
+        frame.headers["fuchsiastep-priority"] = "high";
+        frame.caller = valueOf(call).caller;
+        frame.upstreamId = "i-7";
+        const HttpMessage message = formatUpstreamRequest(frame, std::chrono::milliseconds(1200));
+        CPPUNIT_ASSERT_EQUAL(std::string("/a%2F?b=%41"), message.target);
+        const HeaderList expected {
+            {"host", "h:80"}, {"request-id", "r1"}, {"deadline-ms", "1200"}, {"caller-service", "desk"}, {"target-instance", "i-7"}};
+        CPPUNIT_ASSERT(message.headers == expected);
+        incoming.headers["deadline-ms"] = "soon";
+        CPPUNIT_ASSERT(isError(tryParseCall(incoming, "desk")));
+    }
+
+    // Guards against late answers of earlier requests, and refusals that pass for answers.
+    void testAnswersOfOtherRequests()
+    {
+        RequestFrame request;
+        request.traceId = "r1";
+        const auto kind = [&](std::uint16_t status, const HeaderList &headers) {
+            HttpMessage answer;
+            answer.status = status;
+            answer.headers = headers;
+            return classifyAnswer(request, answer);
+        };
+        CPPUNIT_ASSERT(kind(200, {{"request-id", "r1"}}) == UpstreamAnswerKind::Answer);
+        CPPUNIT_ASSERT(kind(200, {{"request-id", "r0"}}) == UpstreamAnswerKind::Foreign);
+        CPPUNIT_ASSERT(kind(503, {{"request-id", "r1"}, {"not-executed", "1"}}) == UpstreamAnswerKind::Refusal);
+        CPPUNIT_ASSERT(kind(421, {}) == UpstreamAnswerKind::Refusal);
+        CPPUNIT_ASSERT(kind(503, {{"request-id", "r1"}}) == UpstreamAnswerKind::Answer);
+        CPPUNIT_ASSERT(kind(500, {}) == UpstreamAnswerKind::Answer);
+    }
+
+    // Guards against rows that are written to one place and read from another.
+    void testStoreCalls()
+    {
+        struct Case
+        {
+            std::string name;
+            PlatformRequest request;
+            std::string method;
+            std::string path;
+        };
+        const std::vector<Case> cases {
+            {"row", ReadRows {{"op/config"}}, "GET", "/-/rows-get?table=op&part=&from=config&target=config%00&limit=1"},
+            {"row without table", ReadRows {{"head"}}, "GET", "/-/rows-get?table=fuchsiastep&part=&from=head&target=head%00&limit=1"},
+            {"scan of a table", ScanRows {"contact/", {}, 1000}, "GET", "/-/rows-get?table=contact&part=&limit=500"},
+            {"scan goes on", ScanRows {"contact/a", "contact/ab", 10}, "GET", "/-/rows-get?table=contact&part=&from=ab%00&target=b&limit=10"},
+            {"watch", WatchRows {"op/config", 7, std::chrono::seconds(20)}, "GET", "/-/rows-feed?table=op&after=7&waitMs=20000"},
+            {"object", GetObject {"snapshot/1"}, "GET", "/-/blob-get/snapshot%2F1"},
+        };
+        for (const Case &item : cases) {
+            const PlatformHttpRequest http = storeProtocol().encode(item.request);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.method, http.method);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.path, http.path);
+        }
+        const PlatformHttpRequest transaction =
+            storeProtocol().encode(Transaction {{{"contact/a", 3}}, {{"contact/a", "node-1"}, {"contact/b", std::nullopt}}});
+        CPPUNIT_ASSERT_EQUAL(std::string("/-/rows-tx"), transaction.path);
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"expect":[{"key":"a","part":"","rowVersion":3,"table":"contact"}],)"
+                                         R"("puts":[{"key":"a","part":"","table":"contact","value":"bm9kZS0x"}],)"
+                                         R"("remove":[{"key":"b","part":"","table":"contact"}]})"),
+            transaction.body);
+    }
+
+    // Guards against an answer whose effect is taken for certain though it is not, or the other way round.
+    void testStoreAnswers()
+    {
+        const std::string row = R"({"table":"op","part":"","key":"config","value":"bm9kZS0x","rowVersion":412})";
+        const std::string body = "{\"rows\":[" + row + "],\"hasMore\":false,\"rowVersion\":530,\"nowMs\":1}";
+        const auto decode = [](const PlatformRequest &request, unsigned status, const std::string &text) {
+            return storeProtocol().tryDecode(request, status, text);
+        };
+        const auto rows = decode(ReadRows {{"op/config"}}, 200, body);
+        CPPUNIT_ASSERT(std::get<Rows>(valueOf(rows)).rows.at(0) == (Row {"op/config", 412, "node-1"}));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(530), std::get<Rows>(valueOf(rows)).revision);
+        const auto absent = decode(ReadRows {{"op/config"}}, 200, R"({"rows":[],"rowVersion":5})");
+        CPPUNIT_ASSERT(std::get<Rows>(valueOf(absent)).rows.at(0) == (Row {"op/config", 0, {}}));
+        const auto changes = decode(WatchRows {"op/config", 1, {}},
+            200,
+            "{\"rows\":[" + row + R"(,{"table":"op","part":"","key":"old","tombstone":true}],"rowVersion":531})");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), std::get<RowsChanged>(valueOf(changes)).rows.size());
+        CPPUNIT_ASSERT(std::holds_alternative<HistoryGone>(valueOf(decode(WatchRows {"op/config", 1, {}}, 410, ""))));
+        CPPUNIT_ASSERT(std::holds_alternative<Conflict>(valueOf(decode(Transaction {}, 412, body))));
+        for (const unsigned status : {429U, 503U}) {
+            const auto refused = decode(Transaction {}, status, "");
+            CPPUNIT_ASSERT(std::get<PlatformFailure>(valueOf(refused)).error.code == ErrorCode::PlatformUnavailable);
+        }
+        // The client takes what cannot be read after a write as an unknown outcome.
+        CPPUNIT_ASSERT(isError(decode(Transaction {}, 500, "")));
+        CPPUNIT_ASSERT(isError(decode(ReadRows {{"op/config"}}, 200, "{")));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestPlatformCodecs);
+
+} // namespace Fuchsiastep
