--- a/Libraries/LibConfiguration/DocumentReader.cpp
+++ b/Libraries/LibConfiguration/DocumentReader.cpp
@@ -48,6 +48,18 @@
     }
 }
 
+void DocumentReader::accept(const WatchRole &role)
+{
+    const bool hasBegun = role.isWatching && !m_isWatching;
+    m_isWatching = role.isWatching;
+    if (hasBegun) {
+        // Changes may have come since the last read.
+        accept(DocumentWanted {});
+    } else if (!m_isWatching) {
+        m_nextWatch.reset();
+    }
+}
+
 void DocumentReader::accept(const PlatformReply &reply)
 {
     if (m_readCall == reply.id) {
@@ -101,6 +113,9 @@
 void DocumentReader::scheduleWatch(std::uint64_t revision, bool hasChanged)
 {
     m_watchedRevision = revision;
+    if (!m_isWatching) {
+        return;
+    }
     m_nextWatch = m_clock.now() + (hasChanged ? m_settings.changePause : m_settings.watchPause);
 }
 
--- a/Libraries/LibConfiguration/DocumentReader.h
+++ b/Libraries/LibConfiguration/DocumentReader.h
@@ -22,8 +22,8 @@
     /// Least time between two watches, for a platform that answers them without waiting.
     Duration watchPause = std::chrono::milliseconds(50);
     /// Time between a change and the next watch. Of documents that follow each other quickly only the last one is read, so
-    /// that they do not fill a slow link; a third of the time in which a change has to be in force.
-    Duration changePause = std::chrono::milliseconds(600);
+    /// that they do not fill a slow link; a fifth of the time in which a change has to be in force.
+    Duration changePause = std::chrono::milliseconds(400);
     /// Waits after failures. During an outage each proxy asks about once in the upper one.
     Duration firstBackoff = std::chrono::milliseconds(100);
     Duration backoffCap = std::chrono::seconds(1);
@@ -33,7 +33,13 @@
 struct DocumentWanted
 { };
 
-using DocumentReaderInput = std::variant<DocumentWanted, PlatformReply>;
+/// Input: whether this proxy watches the document for others. The others read it only when they want it.
+struct WatchRole
+{
+    bool isWatching = true;
+};
+
+using DocumentReaderInput = std::variant<DocumentWanted, WatchRole, PlatformReply>;
 
 /// Output: the newest document. Given after each successful read and each change.
 struct DocumentFound
@@ -69,6 +75,7 @@
 
 private:
     void accept(const DocumentWanted &wanted);
+    void accept(const WatchRole &role);
     void accept(const PlatformReply &reply);
     void acceptRead(const PlatformResponse &response);
     void acceptWatch(const PlatformResponse &response);
@@ -87,6 +94,7 @@
     std::optional<CallId> m_watchCall;
     std::optional<TimePoint> m_nextRead;
     std::optional<TimePoint> m_nextWatch;
+    bool m_isWatching = true;
     std::uint64_t m_watchedRevision = 0;
     std::vector<DocumentReaderOutput> m_outputs;
 };
--- a/Libraries/LibProxy/ConfigurationTask.cpp
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -16,11 +16,16 @@
     OperatorReplyHandler reply;
 };
 
-static DistributorSettings distributorSettings(const DistributionSettings &settings)
+static DistributorSettings distributorSettings(const DistributionSettings &settings, bool hasDocument)
 {
     DistributorSettings distributor;
     distributor.fanOut = settings.fanOut;
     distributor.batchDelay = settings.batchWindow;
+    if (hasDocument) {
+        // A document lies in the platform, where a successor of this proxy finds it; it needs no other holders first.
+        distributor.holdersBeforeAdoption = 0;
+        distributor.batchDelay = Duration(0);
+    }
     return distributor;
 }
 
@@ -51,7 +56,7 @@
     , m_links(links)
     , m_platform(platform)
     , m_onEvent(std::move(onEvent))
-    , m_distributor(distributorSettings(settings.distribution), table, m_holder, clock, random)
+    , m_distributor(distributorSettings(settings.distribution, !protocol.documentKey.empty()), table, m_holder, clock, random)
     , m_reader(readerSettings(settings.distribution), clock, random)
     , m_gate({}, table, clock, random)
     , m_timer(clock, [this] { runDue(); })
@@ -95,6 +100,21 @@
     run(m_distributor.handle(version));
 }
 
+void ConfigurationTask::handle(const PeerLost &lost)
+{
+    if (!m_documents || m_role.isReader) {
+        return;
+    }
+    // What a reader had read and not passed on is found in the platform; membership notices its loss only later.
+    const std::vector<const MemberRecord *> readers =
+        rendezvousMembers(m_table, m_settings.dataCentre, ReaderRoleName, m_settings.distribution.readersPerDataCentre);
+    const bool isReader =
+        std::any_of(readers.begin(), readers.end(), [&](const MemberRecord *reader) { return reader->proxyId == lost.proxyId; });
+    if (isReader) {
+        run(m_documents->handle(DocumentWanted {}));
+    }
+}
+
 void ConfigurationTask::handle(const MemberChange &change)
 {
     run(m_distributor.handle(change));
@@ -356,20 +376,31 @@
     }
     const ConfigurationVersion version = valueOf(document).version;
     if (version > m_holder.current()->version()) {
-        const Result<Done> applied =
-            m_holder.tryApplyDelta(ConfigurationDelta::between(*m_holder.current(), valueOf(document).objects, version));
-        if (isError(applied)) {
-            m_metrics.count("fuchsiastep_configurations_rejected_total");
-            logEvent(LogEvent::ConfigurationRejected, {{"version", version}, {"error", describe(errorOf(applied))}});
-            return;
-        }
         m_onEvent(CallerLimitsChanged {valueOf(document).callerLimits});
         m_highestVersionSeen = std::max(m_highestVersionSeen, version);
-        adopt(m_holder.current());
+        adoptObjects(valueOf(document).objects, version);
     }
     run(m_gate.handle(HeadRead {version}));
 }
 
+void ConfigurationTask::adoptObjects(const std::vector<DeclaredObject> &objects, ConfigurationVersion version)
+{
+    const ConfigurationDelta delta = ConfigurationDelta::between(*m_holder.current(), objects, version);
+    const Result<Configuration::Pointer> configuration = m_holder.current()->tryApply(delta);
+    if (isError(configuration)) {
+        m_metrics.count("fuchsiastep_configurations_rejected_total");
+        logEvent(LogEvent::ConfigurationRejected, {{"version", version}, {"error", describe(errorOf(configuration))}});
+        return;
+    }
+    // The first version is whole and every proxy reads it by itself; later ones are passed on by the readers.
+    const bool isPassedOn = m_role.isReader && m_holder.current()->version() > 0;
+    ConfigurationFound found {valueOf(configuration), valueOf(configuration)};
+    if (isPassedOn) {
+        found.content = delta;
+    }
+    run(m_distributor.handle(found));
+}
+
 void ConfigurationTask::readHead()
 {
     if (m_documents) {
@@ -423,7 +454,11 @@
         logEvent(LogEvent::ReaderRoleChanged, {{"reader", role.isReader}, {"rank", role.rank}});
     }
     m_role = role;
-    run(m_reader.handle(role));
+    if (m_documents) {
+        run(m_documents->handle(WatchRole {role.isReader}));
+    } else {
+        run(m_reader.handle(role));
+    }
 }
 
 void ConfigurationTask::nudgeReaders(ConfigurationVersion version)
@@ -487,9 +522,7 @@
 
 void ConfigurationTask::finishTurn()
 {
-    if (!m_documents) {
-        updateReaderRole();
-    }
+    updateReaderRole();
     const std::optional<TimePoint> nextRead = m_documents ? m_documents->nextDeadline() : m_reader.nextDeadline();
     std::optional<TimePoint> next = earliestDeadline({m_distributor.nextDeadline(), nextRead, m_gate.nextDeadline()});
     for (const auto &[id, change] : m_changes) {
--- a/Libraries/LibProxy/ConfigurationTask.h
+++ b/Libraries/LibProxy/ConfigurationTask.h
@@ -29,7 +29,14 @@
     PlatformResponse response;
 };
 
+/// A connection to or from a peer closed.
+struct PeerLost
+{
+    std::string proxyId;
+};
+
 using ConfigurationTaskMessage = std::variant<PeerFrame,
+    PeerLost,
     PeerVersion,
     MemberChange,
     EndpointsChanged,
@@ -78,6 +85,7 @@
 
     void handle(const PeerFrame &frame);
     void handle(const PeerVersion &version);
+    void handle(const PeerLost &lost);
     void handle(const MemberChange &change);
     void handle(const EndpointsChanged &change);
     void handle(const FreezeDetected &freeze);
@@ -93,6 +101,7 @@
     void run(std::vector<StartupGateOutput> outputs);
     void run(std::vector<DocumentReaderOutput> outputs);
     void adoptDocument(const DocumentFound &found);
+    void adoptObjects(const std::vector<DeclaredObject> &objects, ConfigurationVersion version);
     void run(std::uint64_t changeId, std::vector<ChangeCommitterOutput> outputs);
 
     void countServices(const EndpointsChanged &change);
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -120,6 +120,9 @@
 {
     auto *received = std::get_if<PeerFrameReceived>(&event);
     if (received == nullptr) {
+        if (const auto *closed = std::get_if<PeerConnectionClosed>(&event)) {
+            m_configuration->post(PeerLost {closed->proxyId});
+        }
         std::visit([this](const auto &content) { m_requests->post(content); }, event);
         return;
     }
