--- a/Libraries/LibRouting/LoadEstimate.cpp
+++ b/Libraries/LibRouting/LoadEstimate.cpp
@@ -67,10 +67,13 @@
     return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(halfLife.count()));
 }
 
-std::optional<Duration> LoadEstimate::serviceTime(const std::string &upstreamId) const
+std::optional<LoadEstimate::ServiceTime> LoadEstimate::serviceTime(const std::string &upstreamId) const
 {
     const auto found = m_upstreams.find(upstreamId);
-    return found == m_upstreams.end() ? std::nullopt : found->second.serviceTime;
+    if (found == m_upstreams.end() || !found->second.serviceTime) {
+        return std::nullopt;
+    }
+    return ServiceTime {*found->second.serviceTime, weightAfter(m_clock.now() - found->second.reportedAt, m_settings.speedHalfLife)};
 }
 
 LoadEstimate::Expectation LoadEstimate::expectation(const Endpoint &endpoint, Duration typicalService) const
--- a/Libraries/LibRouting/LoadEstimate.h
+++ b/Libraries/LibRouting/LoadEstimate.h
@@ -59,8 +59,15 @@
     bool isFull(const Endpoint &endpoint, double share) const;
     /// \a typicalService is the mean of the service, which stands in for what is not known of the upstream.
     Expectation expectation(const Endpoint &endpoint, Duration typicalService) const;
-    /// Service time that the upstream reported; nothing where it reported none.
-    std::optional<Duration> serviceTime(const std::string &upstreamId) const;
+    /// A service time that the upstream reported, and how much it still tells.
+    struct ServiceTime
+    {
+        Duration time {0};
+        /// From 0 to 1; falls with the age of the report.
+        double weight = 0;
+    };
+    /// Nothing where the upstream reported none.
+    std::optional<ServiceTime> serviceTime(const std::string &upstreamId) const;
     const Settings &settings() const
     {
         return m_settings;
--- a/Libraries/LibRouting/PlacementPolicy.cpp
+++ b/Libraries/LibRouting/PlacementPolicy.cpp
@@ -81,16 +81,16 @@
 
 Duration PlacementPolicy::typicalServiceTime(const Route &route) const
 {
-    Duration sum {0};
-    std::int64_t known = 0;
+    double sum = 0;
+    double weights = 0;
     const std::size_t probes = std::min(route.endpoints.size(), m_settings.maximumProbes);
     for (std::size_t position = 0; position < probes; ++position) {
-        if (const std::optional<Duration> service = m_load.serviceTime(route.endpoints[position]->upstreamId)) {
-            sum += *service;
-            ++known;
+        if (const auto service = m_load.serviceTime(route.endpoints[position]->upstreamId)) {
+            sum += static_cast<double>(service->time.count()) * service->weight;
+            weights += service->weight;
         }
     }
-    return known > 0 ? sum / known : m_load.settings().assumedServiceTime;
+    return weights > 0 ? Duration(static_cast<Duration::rep>(sum / weights)) : m_load.settings().assumedServiceTime;
 }
 
 Duration PlacementPolicy::shortestWait(const Route &route) const
--- a/Libraries/LibRouting/PlacementPolicy.h
+++ b/Libraries/LibRouting/PlacementPolicy.h
@@ -33,8 +33,9 @@
         std::string region;
         /// An answer of this size or more is large: it waits behind others to leave the instance of its upstream.
         double largeAnswerBytes = 8.0 * 1024;
-        /// Added for an upstream in another data centre of the region: two crossings and the work of an idle link.
-        Duration otherDataCentre = std::chrono::milliseconds(5);
+        /// Added for an upstream in another data centre of the region: more than the random spread of a short run, so that
+        /// requests stay where it makes little difference.
+        Duration otherDataCentre = std::chrono::milliseconds(25);
         /// Added for an upstream in another region.
         Duration otherRegion = std::chrono::milliseconds(50);
         /// Bytes of answers that count as much as a second of delay when they leave the data centre, because the links
--- a/Tests/LibConfiguration/TestDocumentReader.cpp
+++ b/Tests/LibConfiguration/TestDocumentReader.cpp
@@ -81,6 +81,7 @@
         const auto first = reader.advance();
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.size());
         reader.handle(PlatformReply {std::get<PlatformCall>(first[0]).id, Rows {{{Key, 3, "a"}}, 9}});
+        clock.advance(DocumentReaderSettings().watchPause);
         const auto watch = reader.advance();
         CPPUNIT_ASSERT(std::holds_alternative<WatchRows>(std::get<PlatformCall>(watch.at(0)).request));
         CPPUNIT_ASSERT(reader.handle(DocumentWanted {}).empty());
