Follow the formatter and the linter

Cause: the new files were written without them. Change: formatting, and one parameter that was copied without need.

--- a/Libraries/LibConfiguration/ConfigurationDelta.cpp
+++ b/Libraries/LibConfiguration/ConfigurationDelta.cpp
@@ -37,8 +37,7 @@
     return delta;
 }
 
-ConfigurationDelta ConfigurationDelta::between(
-    const Configuration &base, std::vector<DeclaredObject> objects, ConfigurationVersion version)
+ConfigurationDelta ConfigurationDelta::between(const Configuration &base, std::vector<DeclaredObject> objects, ConfigurationVersion version)
 {
     std::vector<DeclaredObject> stored;
     std::set<ObjectName> kept;
--- a/Libraries/LibConfiguration/DocumentReader.cpp
+++ b/Libraries/LibConfiguration/DocumentReader.cpp
@@ -102,8 +102,8 @@
 
 bool DocumentReader::findDocument(const std::vector<Row> &rows)
 {
-    const auto found = std::find_if(
-        rows.rbegin(), rows.rend(), [this](const Row &row) { return row.key == m_settings.key && row.revision > 0; });
+    const auto found =
+        std::find_if(rows.rbegin(), rows.rend(), [this](const Row &row) { return row.key == m_settings.key && row.revision > 0; });
     if (found != rows.rend()) {
         m_outputs.emplace_back(DocumentFound {found->value, found->revision});
     }
@@ -122,8 +122,8 @@
 void DocumentReader::fail(const PlatformResponse &response)
 {
     const auto *failure = std::get_if<PlatformFailure>(&response);
-    m_outputs.emplace_back(DocumentFailure {
-        failure != nullptr ? failure->error : Error {ErrorCode::PlatformMalformedAnswer, "an answer of another kind"}});
+    m_outputs.emplace_back(
+        DocumentFailure {failure != nullptr ? failure->error : Error {ErrorCode::PlatformMalformedAnswer, "an answer of another kind"}});
     if (!m_readCall && !m_nextRead) {
         m_nextRead = m_clock.now() + m_backoff.next(m_random);
     }
--- a/Libraries/LibConfiguration/LibConfiguration.h
+++ b/Libraries/LibConfiguration/LibConfiguration.h
@@ -15,12 +15,12 @@
 #include <LibConfiguration/DocumentReader.h>
 #include <LibConfiguration/Endpoint.h>
 #include <LibConfiguration/HeadRow.h>
+#include <LibConfiguration/HostRoutes.h>
 #include <LibConfiguration/Labels.h>
 #include <LibConfiguration/ObjectName.h>
 #include <LibConfiguration/ObjectRow.h>
 #include <LibConfiguration/ObjectValidation.h>
 #include <LibConfiguration/OperatorChange.h>
-#include <LibConfiguration/HostRoutes.h>
 #include <LibConfiguration/Route.h>
 #include <LibConfiguration/RouteRules.h>
 #include <LibConfiguration/RowKeys.h>
--- a/Libraries/LibPlatform/PlatformCodec.cpp
+++ b/Libraries/LibPlatform/PlatformCodec.cpp
@@ -357,7 +357,8 @@
 
 Result<PlatformRequest> tryDecodePlatformRequest(const PlatformHttpRequest &request)
 {
-    const bool isTable = request.path == ReadPath || request.path == ScanPath || request.path == WatchPath || request.path == TransactionPath;
+    const bool isTable =
+        request.path == ReadPath || request.path == ScanPath || request.path == WatchPath || request.path == TransactionPath;
     if (isTable && request.method == "POST") {
         return tryDecodeTableRequest(request);
     }
--- a/Libraries/LibProxy/AnnouncementOrder.cpp
+++ b/Libraries/LibProxy/AnnouncementOrder.cpp
@@ -23,8 +23,8 @@
 
 bool AnnouncementOrder::acceptDeparture(const std::string &upstreamId, const std::optional<UpstreamLifetime> &lifetime)
 {
-    const bool isOther = m_current && (m_current->upstreamId != upstreamId
-                             || (lifetime && lifetime->startedUnixMs != m_current->lifetime.startedUnixMs));
+    const bool isOther =
+        m_current && (m_current->upstreamId != upstreamId || (lifetime && lifetime->startedUnixMs != m_current->lifetime.startedUnixMs));
     if (isOther) {
         return false;
     }
--- a/Libraries/LibProxy/ConfigurationTask.cpp
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -162,7 +162,8 @@
 void ConfigurationTask::handle(const ChangeSubmitted &submitted)
 {
     if (m_documents) {
-        submitted.reply(operatorFailure({ErrorCode::OperatorRequestMalformed, "the configuration is the document " + m_protocol.documentKey}));
+        submitted.reply(
+            operatorFailure({ErrorCode::OperatorRequestMalformed, "the configuration is the document " + m_protocol.documentKey}));
         return;
     }
     Result<OperatorChange> change = tryParseOperatorChange(submitted.body);
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -40,7 +40,8 @@
     , m_gate(gateSettings(settings.limits), m_routing.suspects, clock)
     , m_transfers({}, clock)
     , m_ledger(ledgerSettings(settings, incarnation), clock, random)
-    , m_upstreamClient(clock, protocol, settings.limits.answerBodyBytes, [this](UpstreamClientEvent event) { handleUpstream(std::move(event)); })
+    , m_upstreamClient(
+          clock, protocol, settings.limits.answerBodyBytes, [this](UpstreamClientEvent event) { handleUpstream(std::move(event)); })
     , m_callers(settings.limits.requestBodyBytes, [this](HttpServerEvent event) { handleCallers(std::move(event)); })
     , m_timer(clock, [this] { runDue(); })
     , m_mailbox([this](RequestTaskMessage message) {
@@ -92,9 +93,7 @@
 void RequestTask::handle(const PeerFrameReceived &received)
 {
     std::visit(Overloaded {
-                   [&](const RequestFrame &frame) {
-                       receiveRequest(received, frame);
-                   },
+                   [&](const RequestFrame &frame) { receiveRequest(received, frame); },
                    [&](const CancelFrame &frame) {
                        run(m_transfers.cancel(received.connectionId, frame.requestId));
                        run(m_gate.handle(PeerCancel {received.connectionId, frame.requestId}));
@@ -298,7 +297,10 @@
     m_metrics.observe("fuchsiastep_request_seconds", m_clock.now() - call->second.startedAt);
     if (answer.outcome == RequestOutcome::Unknown) {
         logEvent(LogEvent::RequestUnknown,
-            {{"request", call->second.traceId}, {"service", call->second.service}, {"error", describe({answer.code, answer.detail})}, {"tries", answer.tries}});
+            {{"request", call->second.traceId},
+                {"service", call->second.service},
+                {"error", describe({answer.code, answer.detail})},
+                {"tries", answer.tries}});
     } else if (answer.outcome == RequestOutcome::Answered) {
         logEvent(LogEvent::RequestAnswered,
             {{"request", call->second.traceId},
@@ -308,7 +310,8 @@
                 {"elapsed_us", (m_clock.now() - call->second.startedAt).count()},
                 {"bytes", answer.body.size()}});
     } else if (answer.outcome == RequestOutcome::NotRun) {
-        logEvent(LogEvent::RequestRefused, {{"request", call->second.traceId}, {"service", call->second.service}, {"error", describe({answer.code, answer.detail})}});
+        logEvent(LogEvent::RequestRefused,
+            {{"request", call->second.traceId}, {"service", call->second.service}, {"error", describe({answer.code, answer.detail})}});
     }
     m_calls.erase(call);
     m_callers.answer(m_protocol.formatAnswer(answer));
@@ -422,7 +425,7 @@
     run(m_transfers.start(answer.connectionId, std::move(answer.parts)));
 }
 
-void RequestTask::run(std::vector<SendPart> parts)
+void RequestTask::run(const std::vector<SendPart> &parts)
 {
     for (const SendPart &part : parts) {
         m_links.sendOn(part.connectionId, part.frame);
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -161,7 +161,7 @@
     void run(std::vector<CoordinatorOutput> outputs);
     void run(std::vector<GateOutput> outputs);
     void run(std::vector<ClaimOutput> outputs);
-    void run(std::vector<SendPart> parts);
+    void run(const std::vector<SendPart> &parts);
     void sendAnswer(SendAnswer &answer);
     void runDue();
     void finishTurn();
--- a/Libraries/LibProxy/UpstreamClient.cpp
+++ b/Libraries/LibProxy/UpstreamClient.cpp
@@ -51,8 +51,7 @@
     { }
 };
 
-UpstreamClient::UpstreamClient(
-    const Clock &clock, const EdgeProtocol &protocol, std::uint64_t maximumAnswerBytes, EventHandler onEvent)
+UpstreamClient::UpstreamClient(const Clock &clock, const EdgeProtocol &protocol, std::uint64_t maximumAnswerBytes, EventHandler onEvent)
     : m_clock(clock)
     , m_protocol(protocol)
     , m_maximumAnswerBytes(maximumAnswerBytes)
--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -477,8 +477,8 @@
 Duration RequestCoordinator::retryAfter(const Pending &pending)
 {
     // Callers that were turned away together must not return together.
-    const Duration wait = std::clamp(
-        m_selector.shortestWait(*pending.request.route), m_settings.shortestRetryAfter, m_settings.longestRetryAfter);
+    const Duration wait =
+        std::clamp(m_selector.shortestWait(*pending.request.route), m_settings.shortestRetryAfter, m_settings.longestRetryAfter);
     return wait / 2 + m_selector.jitter(wait);
 }
 
--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -108,7 +108,8 @@
     entry.arrivedAt = m_clock.now();
     entry.deadline = m_clock.now() + std::chrono::milliseconds(request.frame.timeLeftMs);
     const bool hasTarget = request.frame.targetLeftMs > 0;
-    entry.dueAt = hasTarget ? std::min(entry.deadline, m_clock.now() + std::chrono::milliseconds(request.frame.targetLeftMs)) : entry.deadline;
+    entry.dueAt =
+        hasTarget ? std::min(entry.deadline, m_clock.now() + std::chrono::milliseconds(request.frame.targetLeftMs)) : entry.deadline;
     entry.service = m_serviceTimes.meanOf(request.frame.selector);
     entry.isIsolated = request.frame.isIsolated;
     entry.isLocal = request.isLocal;
--- a/Tests/LibConfiguration/TestDocumentReader.cpp
+++ b/Tests/LibConfiguration/TestDocumentReader.cpp
@@ -37,7 +37,10 @@
                         PlatformResponse response = random.chance(0.05) && std::holds_alternative<WatchRows>(call->request)
                             ? PlatformResponse(HistoryGone {})
                             : platform.handle(call->request);
-                        queue.schedule([&, id = call->id, response = std::move(response)] { apply(reader.handle(PlatformReply {id, response})); },
+                        queue.schedule(
+                            [&, id = call->id, response = std::move(response)] {
+                                apply(reader.handle(PlatformReply {id, response}));
+                            },
                             std::chrono::milliseconds(4));
                     } else if (const auto *document = std::get_if<DocumentFound>(&output)) {
                         found = document->content;
--- a/Tests/LibHttp/TestHttpParser.cpp
+++ b/Tests/LibHttp/TestHttpParser.cpp
@@ -77,7 +77,10 @@
             {"two pipelined requests", head + "\r\n" + "GET /b HTTP/1.1\r\nHost: h\r\n\r\n", {"/a", "/b"}, {}},
             {"counted body", post + "Content-Length: 3\r\n\r\nabc", {"/a"}, {}},
             {"chunked body", post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", {"/a"}, {}},
-            {"length and chunks", post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", {}, ErrorCode::RequestMalformed},
+            {"length and chunks",
+                post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                {},
+                ErrorCode::RequestMalformed},
             {"two lengths", post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", {}, ErrorCode::RequestMalformed},
             {"space before the colon", post + "Content-Length : 3\r\n\r\nabc", {}, ErrorCode::RequestMalformed},
             {"negative length", post + "Content-Length: -3\r\n\r\nabc", {}, ErrorCode::RequestMalformed},
@@ -151,7 +154,8 @@
     // Guards against fields of one connection that reach the next one, also those that the sender names itself.
     void testConnectionFieldsAreNotPassedOn()
     {
-        const std::string bytes = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\nX-End: 2\r\nx-end: 3\r\n\r\n";
+        const std::string bytes =
+            "GET / HTTP/1.1\r\nHost: h\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\nX-End: 2\r\nx-end: 3\r\n\r\n";
         const Reading reading = read(HttpParser::Kind::Request, bytes, bytes.size(), false);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), reading.messages.size());
         CPPUNIT_ASSERT(reading.messages[0].isLast);
--- a/Tests/LibProxy/TestAnnouncementOrder.cpp
+++ b/Tests/LibProxy/TestAnnouncementOrder.cpp
@@ -32,7 +32,8 @@
     {
         const std::vector<std::pair<std::string, std::vector<Step>>> histories {
             {"in order", {{Kind::Ready, "u", 10, 1, true, false}, {Kind::Ready, "u", 10, 2, true, false}}},
-            {"late copy", {{Kind::Ready, "u", 10, 2, true, false}, {Kind::Ready, "u", 10, 1, false, false}, {Kind::Ready, "u", 10, 2, false, false}}},
+            {"late copy",
+                {{Kind::Ready, "u", 10, 2, true, false}, {Kind::Ready, "u", 10, 1, false, false}, {Kind::Ready, "u", 10, 2, false, false}}},
             {"late ready after draining",
                 {{Kind::Ready, "u", 10, 1, true, false},
                     {Kind::Draining, "u", 10, 3, true, true},
@@ -41,10 +42,13 @@
             {"ready after departure",
                 {{Kind::Ready, "u", 10, 1, true, false}, {Kind::Departure, "u", 10, 0, true, true}, {Kind::Ready, "u", 10, 2, true, true}}},
             {"new start of the same id",
-                {{Kind::Draining, "u", 10, 5, true, true}, {Kind::Ready, "u", 20, 1, true, false}, {Kind::Ready, "u", 10, 9, false, false}}},
+                {{Kind::Draining, "u", 10, 5, true, true},
+                    {Kind::Ready, "u", 20, 1, true, false},
+                    {Kind::Ready, "u", 10, 9, false, false}}},
             {"departure of an earlier start", {{Kind::Ready, "u", 20, 1, true, false}, {Kind::Departure, "u", 10, 0, false, false}}},
             {"departure of another upstream", {{Kind::Ready, "v", 20, 1, true, false}, {Kind::Departure, "u", 10, 0, false, false}}},
-            {"replacement", {{Kind::Ready, "u", 10, 7, true, false}, {Kind::Ready, "v", 20, 1, true, false}, {Kind::Ready, "u", 10, 8, false, false}}},
+            {"replacement",
+                {{Kind::Ready, "u", 10, 7, true, false}, {Kind::Ready, "v", 20, 1, true, false}, {Kind::Ready, "u", 10, 8, false, false}}},
             {"departure before anything else", {{Kind::Departure, "u", 10, 0, true, true}, {Kind::Ready, "u", 10, 4, true, true}}},
         };
         for (const auto &[name, steps] : histories) {
--- a/Tests/LibRequest/TestAdmissionQueue.cpp
+++ b/Tests/LibRequest/TestAdmissionQueue.cpp
@@ -64,8 +64,10 @@
             std::map<LocalId, AdmissionQueue::Entry> naive;
             for (LocalId id = 1; id <= 120; ++id) {
                 if (random.chance(0.6)) {
-                    const auto item = entry(
-                        id, static_cast<RequestPriority>(random.below(3)), static_cast<int>(random.below(50)), 1 + static_cast<int>(random.below(300)));
+                    const auto item = entry(id,
+                        static_cast<RequestPriority>(random.below(3)),
+                        static_cast<int>(random.below(50)),
+                        1 + static_cast<int>(random.below(300)));
                     queue.push(item);
                     naive[id] = item;
                 } else if (random.chance(0.5) && !naive.empty()) {
--- a/Tests/platform/TestPlatformCodecs.cpp
+++ b/Tests/platform/TestPlatformCodecs.cpp
@@ -109,7 +109,8 @@
             document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"other","timeoutMs":1,"service":"desk","attempts":1})"),
             document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":-1,"service":"desk","attempts":1})"),
             document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":1,"attempts":1})"),
-            document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":1,"attempts":1,"weightedServices":[{"service":"desk"}]})"),
+            document(
+                R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":1,"attempts":1,"weightedServices":[{"service":"desk"}]})"),
         };
         for (const std::string &text : bad) {
             CPPUNIT_ASSERT_MESSAGE(text, isError(tryReadDocument(text)));
@@ -198,7 +199,10 @@
             {"row", ReadRows {{"op/config"}}, "GET", "/-/rows-get?table=op&part=&from=config&target=config%00&limit=1"},
             {"row without table", ReadRows {{"head"}}, "GET", "/-/rows-get?table=fuchsiastep&part=&from=head&target=head%00&limit=1"},
             {"scan of a table", ScanRows {"contact/", {}, 1000}, "GET", "/-/rows-get?table=contact&part=&limit=500"},
-            {"scan goes on", ScanRows {"contact/a", "contact/ab", 10}, "GET", "/-/rows-get?table=contact&part=&from=ab%00&target=b&limit=10"},
+            {"scan goes on",
+                ScanRows {"contact/a", "contact/ab", 10},
+                "GET",
+                "/-/rows-get?table=contact&part=&from=ab%00&target=b&limit=10"},
             {"watch", WatchRows {"op/config", 7, std::chrono::seconds(20)}, "GET", "/-/rows-feed?table=op&after=7&waitMs=20000"},
             {"object", GetObject {"snapshot/1"}, "GET", "/-/blob-get/snapshot%2F1"},
         };
