--- a/Libraries/LibCore/LogEvent.cpp
+++ b/Libraries/LibCore/LogEvent.cpp
@@ -48,7 +48,7 @@
         LogEvent::ReaderRoleChanged, "ReaderRoleChanged", LogLevel::Info, "This proxy became or ceased to be a configuration reader."},
     LogEventInfo {
         LogEvent::RangeReassigned, "RangeReassigned", LogLevel::Info, "A delegate did not acknowledge; its range went to another member."},
-    LogEventInfo {LogEvent::RequestRefused, "RequestRefused", LogLevel::Debug, "A request was refused as not run."},
+    LogEventInfo {LogEvent::RequestRefused, "RequestRefused", LogLevel::Info, "A request was refused as not run."},
     LogEventInfo {LogEvent::RequestUnknown, "RequestUnknown", LogLevel::Warning, "A request ended without knowledge of whether it ran."},
     LogEventInfo {LogEvent::UpstreamAnnounced, "UpstreamAnnounced", LogLevel::Info, "The upstream of this instance announced itself."},
     LogEventInfo {LogEvent::UpstreamLost, "UpstreamLost", LogLevel::Warning, "The upstream of this instance no longer announces itself."},
@@ -62,7 +62,7 @@
     LogEventInfo {LogEvent::DrainFinished, "DrainFinished", LogLevel::Info, "No request is in flight; the proxy may stop."},
     LogEventInfo {LogEvent::HttpRequestRejected, "HttpRequestRejected", LogLevel::Info, "An HTTP request is not valid or too large."},
     LogEventInfo {
-        LogEvent::TryFailed, "TryFailed", LogLevel::Debug, "A proxy beside an upstream did not answer a request; it may be tried again."},
+        LogEvent::TryFailed, "TryFailed", LogLevel::Info, "A proxy beside an upstream did not answer a request; it may be tried again."},
     LogEventInfo {LogEvent::AnnouncementIgnored,
         "AnnouncementIgnored",
         LogLevel::Info,
--- a/Libraries/LibCore/Logger.cpp
+++ b/Libraries/LibCore/Logger.cpp
@@ -1,12 +1,19 @@
 #include <LibCore/Logger.h>
 
-#include <log4cxx/consoleappender.h>
+#include <LibCore/LogLineWriter.h>
+#include <LibCore/LogRateLimit.h>
+
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/helpers/pool.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
+#include <unistd.h>
+
 #include <array>
+#include <memory>
+#include <optional>
 #include <utility>
 
 namespace Fuchsiastep {
@@ -33,22 +40,75 @@
     return log4cxx::Level::getError();
 }
 
+namespace {
+
+/// Hands each formatted line to a LogLineWriter.
+class LineAppender : public log4cxx::AppenderSkeleton
+{
+public:
+    LineAppender(const log4cxx::LayoutPtr &layout, int descriptor) : log4cxx::AppenderSkeleton(layout), m_writer(descriptor)
+    { }
+
+    void close() override
+    { }
+    bool requiresLayout() const override
+    {
+        return true;
+    }
+    std::uint64_t dropped() const
+    {
+        return m_writer.dropped();
+    }
+
+protected:
+    void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override
+    {
+        log4cxx::LogString line;
+        getLayout()->format(line, event, pool);
+        m_writer.write(line);
+    }
+
+private:
+    LogLineWriter m_writer;
+};
+
+} // namespace
+
+static std::shared_ptr<LineAppender> &programAppender()
+{
+    static std::shared_ptr<LineAppender> appender;
+    return appender;
+}
+
+static LogRateLimit &programRateLimit()
+{
+    static const Clock SystemClock = Clock::system();
+    static LogRateLimit limit(SystemClock);
+    return limit;
+}
+
 static log4cxx::LoggerPtr &programLogger()
 {
     static log4cxx::LoggerPtr logger;
     return logger;
 }
 
-void startLogging(LogLevel level)
+void startLogging(LogLevel level, LogOutput output)
 {
     const log4cxx::LayoutPtr layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{yyyy-MM-ddTHH:mm:ss.SSS} %-5p %m%n"));
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    const auto appender = std::make_shared<LineAppender>(layout, output == LogOutput::StandardOutput ? STDOUT_FILENO : STDERR_FILENO);
     log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("fuchsiastep");
     logger->removeAllAppenders();
     logger->addAppender(appender);
     logger->setAdditivity(false);
     logger->setLevel(libraryLevel(level));
     programLogger() = logger;
+    programAppender() = appender;
+}
+
+std::uint64_t droppedLogLines()
+{
+    return programAppender() != nullptr ? programAppender()->dropped() : 0;
 }
 
 bool tryParseLogLevel(std::string_view name, LogLevel &level)
@@ -91,10 +151,17 @@
     if (!logger || !logger->isEnabledFor(level)) {
         return;
     }
+    const std::optional<std::uint64_t> leftOut = programRateLimit().admit(event);
+    if (!leftOut) {
+        return;
+    }
     std::string line = "event=" + std::to_string(static_cast<unsigned>(event)) + " name=" + std::string(info.name);
     for (const LogField &field : fields) {
         appendField(line, field);
     }
+    if (*leftOut > 0) {
+        appendField(line, {"left_out", *leftOut});
+    }
     logger->forcedLog(level, line, log4cxx::spi::LocationInfo::getLocationUnavailable());
 }
 
--- a/Libraries/LibCore/Logger.h
+++ b/Libraries/LibCore/Logger.h
@@ -24,8 +24,17 @@
     std::string value;
 };
 
-/// Sends log lines to standard error. \a level is the lowest that is written.
-void startLogging(LogLevel level);
+enum class LogOutput {
+    StandardError,
+    StandardOutput,
+};
+
+/// Sends log lines to \a output. \a level is the lowest that is written. Lines beyond LogRateLimit, and lines that a slow
+/// reader would hold up, are left out and counted.
+void startLogging(LogLevel level, LogOutput output = LogOutput::StandardError);
+
+/// Lines that were dropped because the reader of the log was too slow.
+std::uint64_t droppedLogLines();
 
 /// Nothing when \a name is not debug, info, warning or error.
 bool tryParseLogLevel(std::string_view name, LogLevel &level);
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -295,7 +295,7 @@
 
 void ProxyRuntime::reload(const ProxySettings &settings)
 {
-    startLogging(settings.logLevel);
+    startLogging(settings.logLevel, settings.logOutput);
     m_settings.logLevel = settings.logLevel;
     m_settings.retries = settings.retries;
     m_requests->post(RetriesChanged {settings.retries});
--- a/Libraries/LibProxy/ProxySettings.cpp
+++ b/Libraries/LibProxy/ProxySettings.cpp
@@ -38,6 +38,11 @@
         if (!tryParseLogLevel(level, settings.logLevel)) {
             report(reader.pathOf("log_level"), "must be debug, info, warning or error");
         }
+        const std::string output = reader.optionalString("log_output", "stderr");
+        if (output != "stderr" && output != "stdout") {
+            report(reader.pathOf("log_output"), "must be stderr or stdout");
+        }
+        settings.logOutput = output == "stdout" ? LogOutput::StandardOutput : LogOutput::StandardError;
         reader.finish();
         return settings;
     }
--- a/Libraries/LibProxy/ProxySettings.h
+++ b/Libraries/LibProxy/ProxySettings.h
@@ -107,6 +107,7 @@
     MembershipSettings membership;
     LimitSettings limits;
     LogLevel logLevel = LogLevel::Info;
+    LogOutput logOutput = LogOutput::StandardError;
 
     /// Reads and checks a whole settings text. On failure \a errors names each wrong field by its path.
     static Result<ProxySettings> tryParse(std::string_view text, std::vector<Error> &errors);
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -100,9 +100,6 @@
                    },
                    [&](const AnswerPartAckFrame &frame) { run(m_transfers.acknowledge(received.connectionId, frame)); },
                    [&](const AnswerFrame &frame) {
-                       if (frame.outcome != RequestOutcome::Answered) {
-                           logEvent(LogEvent::TryFailed, {{"peer", received.proxyId}, {"error", describe({frame.code, frame.detail})}});
-                       }
                        run(m_coordinator.handle(PeerAnswer {received.proxyId, received.connectionId, received.incarnation, frame}));
                    },
                    [&](const AnswerPartFrame &frame) {
@@ -300,7 +297,9 @@
             {{"request", call->second.traceId},
                 {"service", call->second.service},
                 {"error", describe({answer.code, answer.detail})},
-                {"tries", answer.tries}});
+                {"tries", answer.tries},
+                {"version", m_view->configuration()->version()},
+                {"elapsed_us", (m_clock.now() - call->second.startedAt).count()}});
     } else if (answer.outcome == RequestOutcome::Answered) {
         logEvent(LogEvent::RequestAnswered,
             {{"request", call->second.traceId},
@@ -311,7 +310,13 @@
                 {"bytes", answer.body.size()}});
     } else if (answer.outcome == RequestOutcome::NotRun) {
         logEvent(LogEvent::RequestRefused,
-            {{"request", call->second.traceId}, {"service", call->second.service}, {"error", describe({answer.code, answer.detail})}});
+            {{"request", call->second.traceId},
+                {"service", call->second.service},
+                {"error", describe({answer.code, answer.detail})},
+                {"tries", answer.tries},
+                {"version", m_view->configuration()->version()},
+                {"elapsed_us", (m_clock.now() - call->second.startedAt).count()},
+                {"retry_after_us", answer.retryAfter.value_or(Duration(0)).count()}});
     }
     m_calls.erase(call);
     m_callers.answer(m_protocol.formatAnswer(answer));
@@ -421,6 +426,17 @@
 
 void RequestTask::sendAnswer(SendAnswer &answer)
 {
+    if (answer.frame.outcome != RequestOutcome::Answered && answer.frame.code != ErrorCode::Cancelled
+        && answer.frame.code != ErrorCode::PlacementDeclined) {
+        logEvent(LogEvent::TryFailed,
+            {{"request", answer.traceId},
+                {"outcome", nameOf(answer.frame.outcome)},
+                {"error", describe({answer.frame.code, answer.frame.detail})},
+                {"running", answer.frame.load.slotsInUse},
+                {"queued", answer.frame.load.queued},
+                {"service_ms", answer.frame.load.serviceMs},
+                {"transfer_ms", answer.frame.load.transferMs}});
+    }
     m_links.sendOn(answer.connectionId, answer.frame);
     run(m_transfers.start(answer.connectionId, std::move(answer.parts)));
 }
--- a/Libraries/LibRequest/GateOutput.h
+++ b/Libraries/LibRequest/GateOutput.h
@@ -33,6 +33,8 @@
     std::uint64_t connectionId = 0;
     AnswerFrame frame;
     std::vector<AnswerPartFrame> parts;
+    /// The caller's id of the request, for logs.
+    std::string traceId;
 };
 
 /// Nothing is left after a drain. Every answer was given out before; the process exits once its sockets have
--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -555,6 +555,7 @@
     frame.bodyLength = frame.body.size();
     SendAnswer output;
     output.connectionId = entry.connectionId;
+    output.traceId = entry.frame.traceId;
     const bool isLarge = frame.body.size() > m_settings.partBytes;
     for (std::size_t offset = 0; isLarge && offset < frame.body.size(); offset += m_settings.partBytes) {
         output.parts.push_back({entry.frame.requestId,
--- a/Services/fuchsiastepd/main.cpp
+++ b/Services/fuchsiastepd/main.cpp
@@ -103,6 +103,6 @@
     }
     // A reader of the log that goes away must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
-    startLogging(valueOf(settings).logLevel);
+    startLogging(valueOf(settings).logLevel, valueOf(settings).logOutput);
     return runProxy(valueOf(settings));
 }
