--- a/Libraries/LibCore/Logger.cpp
+++ b/Libraries/LibCore/Logger.cpp
@@ -46,14 +46,14 @@
 class LineAppender : public log4cxx::AppenderSkeleton
 {
 public:
-    LineAppender(const log4cxx::LayoutPtr &layout, int descriptor) : log4cxx::AppenderSkeleton(layout), m_writer(descriptor)
+    LineAppender(log4cxx::LayoutPtr lineLayout, int descriptor) : m_lineLayout(std::move(lineLayout)), m_writer(descriptor)
     { }
 
     void close() override
     { }
     bool requiresLayout() const override
     {
-        return true;
+        return false;
     }
     std::uint64_t dropped() const
     {
@@ -64,11 +64,13 @@
     void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override
     {
         log4cxx::LogString line;
-        getLayout()->format(line, event, pool);
+        m_lineLayout->format(line, event, pool);
         m_writer.write(line);
     }
 
 private:
+    // AppenderSkeleton of log4cxx 1.0 drops the layout that its constructor is given.
+    log4cxx::LayoutPtr m_lineLayout;
     LogLineWriter m_writer;
 };
 
