--- a/Libraries/LibConfiguration/DocumentReader.h
+++ b/Libraries/LibConfiguration/DocumentReader.h
@@ -22,8 +22,8 @@
     /// Least time between two watches, for a platform that answers them without waiting.
     Duration watchPause = std::chrono::milliseconds(50);
     /// Time between a change and the next watch. Of documents that follow each other quickly only the last one is read, so
-    /// that they do not fill a slow link; a fifth of the time in which a change has to be in force.
-    Duration changePause = std::chrono::milliseconds(400);
+    /// that they do not fill a slow link; a third of the time in which a change has to be in force.
+    Duration changePause = std::chrono::milliseconds(700);
     /// Waits after failures. During an outage each proxy asks about once in the upper one.
     Duration firstBackoff = std::chrono::milliseconds(100);
     Duration backoffCap = std::chrono::seconds(1);
