Tie the end of a connection to the requests that were sent on it, and repeat nothing below the budget

Cause: closes of peer connections are told in a later turn.

Ruled out: the gate's refusals (the request reached it after the 503), the upstream's own 503 (no signature).

Change: tries know their connection; UpstreamClient repeats nothing. testEndOfAnEarlierConnectionConcernsNoLaterRequest fails without the change.

--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -117,9 +117,9 @@
         run(m_transfers.closeConnection(closed.connectionId));
         run(m_gate.handle(PeerDisconnected {closed.connectionId}));
     } else if (closed.neverConnected) {
-        run(m_coordinator.handle(PeerConnectFailed {closed.proxyId}));
+        run(m_coordinator.handle(PeerConnectFailed {closed.proxyId, closed.connectionId}));
     } else {
-        run(m_coordinator.handle(PeerConnectionLost {closed.proxyId}));
+        run(m_coordinator.handle(PeerConnectionLost {closed.proxyId, closed.connectionId}));
     }
 }
 
@@ -377,7 +377,7 @@
                                    {"time_left_ms", send.frame.timeLeftMs},
                                    {"target_left_ms", send.frame.targetLeftMs},
                                    {"maximum_wait_ms", send.frame.maximumWaitMs}});
-                           m_links.sendTo(send.proxyId, send.address, send.frame);
+                           m_coordinator.noteConnection(send.frame.requestId, m_links.sendTo(send.proxyId, send.address, send.frame));
                        },
                        [this](const SendCancel &cancel) { m_links.sendToOpen(cancel.proxyId, cancel.frame); },
                        [this](CallerAnswer &end) {
--- a/Libraries/LibProxy/UpstreamClient.cpp
+++ b/Libraries/LibProxy/UpstreamClient.cpp
@@ -15,9 +15,6 @@
 /// A request that may not be repeated uses a connection that was used this recently, because no upstream closes one that
 /// soon; on an older one it could meet the close, and its outcome would be unknown for no reason.
 static constexpr Duration RecentUse = std::chrono::milliseconds(1500);
-/// A kept connection that breaks this soon after a request was sent was closed already; the upstream has not read the
-/// request.
-static constexpr Duration CrossedCloseTime = std::chrono::milliseconds(5);
 /// The upstream is on the same instance and answers a connection attempt at once.
 static constexpr Duration ConnectTime = std::chrono::seconds(1);
 /// Head of an answer.
@@ -28,9 +25,7 @@
     std::uint64_t localId = 0;
     /// Without the body.
     RequestFrame request;
-    std::string bytes;
     TimePoint startedAt;
-    bool wasResent = false;
 };
 
 struct UpstreamClient::Connection
@@ -40,10 +35,8 @@
     std::unique_ptr<TcpStream> stream;
     HttpParser parser;
     std::unique_ptr<Exchange> exchange;
-    TimePoint sentAt;
     TimePoint usedAt;
     TimePoint keptUntil;
-    std::uint32_t answers = 0;
     /// Closed once the current exchange ends.
     bool isLast = false;
 
@@ -113,7 +106,7 @@
     exchange->localId = localId;
     HttpMessage message = m_protocol.formatUpstreamRequest(request, timeLeft);
     message.headers.try_emplace("host", m_address.toString());
-    exchange->bytes = serializeRequest(message);
+    std::string bytes = serializeRequest(message);
     exchange->request = request;
     exchange->request.body.clear();
     exchange->startedAt = m_clock.now();
@@ -125,18 +118,17 @@
         report(UpstreamRequestFailed {localId, false, false, {ErrorCode::UpstreamBusy, "every connection is in use"}});
         return;
     }
-    send(connection != nullptr ? *connection : openConnection(), std::move(exchange));
+    send(connection != nullptr ? *connection : openConnection(), std::move(exchange), std::move(bytes));
 }
 
-void UpstreamClient::send(Connection &connection, std::unique_ptr<Exchange> exchange)
+void UpstreamClient::send(Connection &connection, std::unique_ptr<Exchange> exchange, std::string bytes)
 {
     if (exchange->request.method == "HEAD") {
         connection.parser.expectNoBody();
         connection.isLast = true;
     }
-    connection.sentAt = m_clock.now();
     connection.exchange = std::move(exchange);
-    connection.stream->send(connection.exchange->bytes);
+    connection.stream->send(std::move(bytes));
     m_expiryTimer.setDeadline(m_clock.now() + ExpiryInterval);
 }
 
@@ -179,7 +171,6 @@
 {
     const std::unique_ptr<Exchange> exchange = std::move(connection.exchange);
     const TimePoint now = m_clock.now();
-    ++connection.answers;
     connection.usedAt = now;
     connection.keptUntil = now + std::max(Duration(0), message.keepAlive.value_or(AssumedKeepAlive) - KeepAliveMargin);
     // An answer that comes before the whole request was taken leaves a connection on which the rest would be read as
@@ -200,13 +191,6 @@
     report(std::move(answered));
 }
 
-bool UpstreamClient::mayResend(const Connection &connection, const StreamEnd &how) const
-{
-    const Exchange &exchange = *connection.exchange;
-    return !how.neverConnected && connection.answers > 0 && !exchange.wasResent && exchange.request.isRepeatable
-        && connection.parser.isBetweenMessages() && m_clock.now() <= connection.sentAt + CrossedCloseTime;
-}
-
 void UpstreamClient::end(std::uint64_t connectionId, const StreamEnd &how)
 {
     const auto found = m_connections.find(connectionId);
@@ -218,13 +202,6 @@
         m_connections.erase(found);
         return;
     }
-    if (mayResend(connection, how)) {
-        std::unique_ptr<Exchange> exchange = std::move(connection.exchange);
-        m_connections.erase(found);
-        exchange->wasResent = true;
-        send(openConnection(), std::move(exchange));
-        return;
-    }
     if (how.isOrderly) {
         Result<std::optional<HttpMessage>> last = connection.parser.tryEnd();
         const bool isWhole = !isError(last) && valueOf(last)
--- a/Libraries/LibProxy/UpstreamClient.h
+++ b/Libraries/LibProxy/UpstreamClient.h
@@ -79,12 +79,11 @@
 
     Connection *idleConnection(bool isRepeatable);
     Connection &openConnection();
-    void send(Connection &connection, std::unique_ptr<Exchange> exchange);
+    void send(Connection &connection, std::unique_ptr<Exchange> exchange, std::string bytes);
     void receive(std::uint64_t connectionId, std::string_view bytes);
     void end(std::uint64_t connectionId, const StreamEnd &how);
     void complete(Connection &connection, HttpMessage message);
     void fail(std::uint64_t connectionId, bool isConnectionBroken, Error error);
-    bool mayResend(const Connection &connection, const StreamEnd &how) const;
     void expireRuns();
     void report(UpstreamClientEvent event);
 
--- a/Libraries/LibRequest/CoordinatorInput.h
+++ b/Libraries/LibRequest/CoordinatorInput.h
@@ -63,12 +63,16 @@
 struct PeerConnectionLost
 {
     std::string proxyId;
+    /// Requests that were sent on another connection to the proxy since then are not concerned; nothing for all.
+    std::optional<std::uint64_t> connectionId;
 };
 
 /// The connection could not be opened, so nothing that waited for it was sent.
 struct PeerConnectFailed
 {
     std::string proxyId;
+    /// As for PeerConnectionLost.
+    std::optional<std::uint64_t> connectionId;
 };
 
 using CoordinatorInput = std::variant<CallerRequest, CallerGone, PeerConnected, PeerAnswer, PeerConnectionLost, PeerConnectFailed>;
--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -185,8 +185,8 @@
 
 void RequestCoordinator::apply(const PeerConnectionLost &lost)
 {
-    m_connections.erase(lost.proxyId);
-    for (const std::uint64_t requestId : triesOn(lost.proxyId)) {
+    forgetConnection(lost.proxyId, lost.connectionId);
+    for (const std::uint64_t requestId : triesOn(lost.proxyId, lost.connectionId)) {
         const auto found = m_tries.find(requestId);
         if (found == m_tries.end()) {
             continue;
@@ -207,8 +207,8 @@
 
 void RequestCoordinator::apply(const PeerConnectFailed &failed)
 {
-    m_connections.erase(failed.proxyId);
-    for (const std::uint64_t requestId : triesOn(failed.proxyId)) {
+    forgetConnection(failed.proxyId, failed.connectionId);
+    for (const std::uint64_t requestId : triesOn(failed.proxyId, failed.connectionId)) {
         const auto found = m_tries.find(requestId);
         if (found == m_tries.end()) {
             continue;
@@ -342,7 +342,7 @@
         pending.triedUpstreamIds.push_back(endpoint->upstreamId);
     }
     pending.lastUpstreamId = endpoint->upstreamId;
-    pending.current = Try {frame.requestId, endpoint, isIsolated, AnswerAssembly(m_settings.maximumAnswerBytes)};
+    pending.current = Try {frame.requestId, endpoint, isIsolated, AnswerAssembly(m_settings.maximumAnswerBytes), std::nullopt};
     m_outputs.emplace_back(SendRequest {endpoint->proxyId, endpoint->proxyAddress, std::move(frame)});
 }
 
@@ -567,13 +567,34 @@
     }
 }
 
-std::vector<std::uint64_t> RequestCoordinator::triesOn(const std::string &proxyId) const
+void RequestCoordinator::noteConnection(std::uint64_t requestId, std::uint64_t connectionId)
+{
+    const auto found = m_tries.find(requestId);
+    if (found != m_tries.end()) {
+        m_pending.at(found->second).current->connectionId = connectionId;
+    }
+}
+
+void RequestCoordinator::forgetConnection(const std::string &proxyId, std::optional<std::uint64_t> connectionId)
+{
+    const auto known = m_connections.find(proxyId);
+    if (known != m_connections.end() && (!connectionId || known->second.first == *connectionId)) {
+        m_connections.erase(known);
+    }
+}
+
+std::vector<std::uint64_t> RequestCoordinator::triesOn(const std::string &proxyId, std::optional<std::uint64_t> connectionId) const
 {
     const auto onProxy = m_triesByProxy.find(proxyId);
     if (onProxy == m_triesByProxy.end()) {
         return {};
     }
-    return {onProxy->second.begin(), onProxy->second.end()};
+    std::vector<std::uint64_t> tries(onProxy->second.begin(), onProxy->second.end());
+    std::erase_if(tries, [&](std::uint64_t requestId) {
+        const std::optional<std::uint64_t> &sentOn = m_pending.at(m_tries.at(requestId)).current->connectionId;
+        return connectionId && sentOn && *sentOn != *connectionId;
+    });
+    return tries;
 }
 
 std::vector<CoordinatorOutput> RequestCoordinator::takeOutputs()
--- a/Libraries/LibRequest/RequestCoordinator.h
+++ b/Libraries/LibRequest/RequestCoordinator.h
@@ -48,6 +48,9 @@
     /// Ends requests whose deadline has passed.
     std::vector<CoordinatorOutput> advance();
     std::optional<TimePoint> nextDeadline() const;
+    /// Tells on which connection a SendRequest went out. The end of another connection to the same proxy, which may be
+    /// told later, does not concern it.
+    void noteConnection(std::uint64_t requestId, std::uint64_t connectionId);
 
     const RequestCounts &counts() const;
     std::size_t inFlight() const;
@@ -61,6 +64,7 @@
         std::shared_ptr<const Endpoint> endpoint;
         bool isIsolated = false;
         AnswerAssembly assembly;
+        std::optional<std::uint64_t> connectionId;
     };
     struct Pending
     {
@@ -112,7 +116,9 @@
     void recordCrash(Pending &pending);
     std::uint64_t fingerprintOf(Pending &pending);
     void wakeWaiting();
-    std::vector<std::uint64_t> triesOn(const std::string &proxyId) const;
+    /// Tries that were sent to the proxy on this connection, or on any where nothing is given.
+    std::vector<std::uint64_t> triesOn(const std::string &proxyId, std::optional<std::uint64_t> connectionId) const;
+    void forgetConnection(const std::string &proxyId, std::optional<std::uint64_t> connectionId);
     std::vector<CoordinatorOutput> takeOutputs();
 
     Settings m_settings;
--- a/Tests/LibRequest/TestRequestCoordinator.cpp
+++ b/Tests/LibRequest/TestRequestCoordinator.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(testBoundsOnRequestsAndBytes);
     CPPUNIT_TEST(testAnswersFromOtherConnectionsAreDropped);
     CPPUNIT_TEST(testOneIsolatedRunDecidesForAllLikeIt);
+    CPPUNIT_TEST(testEndOfAnEarlierConnectionConcernsNoLaterRequest);
     CPPUNIT_TEST_SUITE_END();
 
     struct Fixture
@@ -68,6 +69,21 @@
         std::vector<CallerAnswer> told;
     };
 
+    // Guards against "not run" for a request that is on its way: the failure of an earlier connection to the same proxy is
+    // told after the request was sent on a new one.
+    void testEndOfAnEarlierConnectionConcernsNoLaterRequest()
+    {
+        Fixture fixture(1);
+        fixture.send("POST", "key");
+        fixture.coordinator.noteConnection(fixture.sent.back().frame.requestId, 8);
+        fixture.take(fixture.coordinator.handle(PeerConnectFailed {"p0", 7}));
+        fixture.take(fixture.coordinator.handle(PeerConnectionLost {"p0", 7}));
+        CPPUNIT_ASSERT(fixture.told.empty());
+        fixture.take(fixture.coordinator.handle(PeerConnectionLost {"p0", 8}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.told.size());
+        CPPUNIT_ASSERT(fixture.told[0].outcome == RequestOutcome::Unknown);
+    }
+
     // Guards against retries of work that may have run, retries on the same upstream, and a wrong outcome.
     void testOutcomesAndRetries()
     {
