--- a/Libraries/LibHttp/HttpFields.cpp
+++ b/Libraries/LibHttp/HttpFields.cpp
@@ -30,4 +30,10 @@
     return lower;
 }
 
+std::string fieldOf(const HeaderList &headers, const char *name)
+{
+    const auto field = headers.find(name);
+    return field == headers.end() ? std::string() : field->second;
+}
+
 } // namespace Fuchsiastep
--- a/Libraries/LibHttp/HttpFields.h
+++ b/Libraries/LibHttp/HttpFields.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibWire/HeaderList.h>
+
 #include <string>
 #include <string_view>
 
@@ -11,6 +13,9 @@
 
 std::string toLowerAscii(std::string_view text);
 
+/// The value of a field by its lower-case name; empty where there is none.
+std::string fieldOf(const HeaderList &headers, const char *name);
+
 constexpr std::string_view SetCookieName = "set-cookie";
 /// Joins the values of Set-Cookie, which hold commas themselves. Cannot be part of a field value.
 constexpr char SetCookieSeparator = '\n';
--- a/Libraries/LibProxy/CallParser.cpp
+++ b/Libraries/LibProxy/CallParser.cpp
@@ -12,12 +12,6 @@
 static constexpr std::size_t MaximumCallerBytes = 63;
 static constexpr std::int64_t MaximumDeadlineMs = 600'000;
 
-static std::string fieldOf(const HeaderList &headers, const char *name)
-{
-    const auto field = headers.find(name);
-    return field == headers.end() ? std::string() : field->second;
-}
-
 static Result<std::optional<Duration>> tryParseDeadline(const std::string &text)
 {
     if (text.empty()) {
--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -227,17 +227,6 @@
     m_isClosing = true;
 }
 
-void HttpServer::closeIdleConnections()
-{
-    for (auto &[id, connection] : m_connections) {
-        if (connection->exchanges.empty() && !connection->closesAt && connection->parser.isBetweenMessages()) {
-            connection->isReadingDone = true;
-            connection->closesAt = m_clock.now() + LingerTime;
-            connection->stream->finishSending();
-        }
-    }
-}
-
 void HttpServer::abandon(std::uint64_t connectionId)
 {
     const auto found = m_connections.find(connectionId);
--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -85,9 +85,6 @@
 
     /// Each further answer is the last one on its connection. New connections are still accepted.
     void startClosing();
-    /// Ends connections that have no request open. What a client sent meanwhile is read and dropped, so that it learns of
-    /// the end and not of a reset.
-    void closeIdleConnections();
 
 private:
     struct Exchange;
--- a/Libraries/LibProxy/ProxySettings.cpp
+++ b/Libraries/LibProxy/ProxySettings.cpp
@@ -126,7 +126,7 @@
         reader.finish();
     }
 
-    void parseRetries(JsonObjectReader &parent, std::optional<RetrySettings> &retries)
+    void parseRetries(JsonObjectReader &parent, std::optional<RetryBudgets::FleetBudget> &retries)
     {
         constexpr double MaximumRatio = 10;
         constexpr double MaximumSlack = 1e6;
@@ -135,7 +135,7 @@
             return;
         }
         JsonObjectReader reader(*value, parent.pathOf("retries"), m_errors);
-        retries = RetrySettings {};
+        retries = RetryBudgets::FleetBudget {};
         retries->ratio = reader.optionalNumber("ratio", retries->ratio, 0, MaximumRatio);
         retries->slack = reader.optionalNumber("slack", retries->slack, 0, MaximumSlack);
         retries->window = milliseconds(reader, "window_ms", retries->window, 100);
--- a/Libraries/LibProxy/ProxySettings.h
+++ b/Libraries/LibProxy/ProxySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/LibCore.h>
+#include <LibRouting/RetryBudgets.h>
 
 #include <cstdint>
 #include <optional>
@@ -53,14 +54,6 @@
     }
 };
 
-/// Retries that all proxies together may make for a service.
-struct RetrySettings
-{
-    double ratio = 0.2;
-    double slack = 0;
-    Duration window = std::chrono::seconds(10);
-};
-
 struct DistributionSettings
 {
     /// How long a reader collects changes before it distributes them together: trades convergence time for control bytes.
@@ -100,7 +93,7 @@
     EdgeKind edge = EdgeKind::Native;
     UpstreamSettings upstream;
     /// Nothing for a budget of each proxy by itself.
-    std::optional<RetrySettings> retries;
+    std::optional<RetryBudgets::FleetBudget> retries;
     /// Peers to ask when the platform cannot name contacts.
     std::vector<SocketAddress> seeds;
     DistributionSettings distribution;
--- a/Libraries/LibProxy/RequestSettings.cpp
+++ b/Libraries/LibProxy/RequestSettings.cpp
@@ -27,15 +27,10 @@
     return ledger;
 }
 
-std::optional<RetryBudgets::FleetBudget> fleetBudget(const std::optional<RetrySettings> &retries)
-{
-    return retries ? std::optional(RetryBudgets::FleetBudget {retries->ratio, retries->slack, retries->window}) : std::nullopt;
-}
-
 RoutingState::Settings routingSettings(const ProxySettings &settings)
 {
     RoutingState::Settings routing;
-    routing.retries.fleet = fleetBudget(settings.retries);
+    routing.retries.fleet = settings.retries;
     return routing;
 }
 
--- a/Libraries/LibProxy/RequestSettings.h
+++ b/Libraries/LibProxy/RequestSettings.h
@@ -13,8 +13,6 @@
 RequestCoordinator::Settings coordinatorSettings(const LimitSettings &limits);
 UpstreamGate::Settings gateSettings(const LimitSettings &limits);
 ClaimLedger::Settings ledgerSettings(const ProxySettings &settings, std::uint64_t incarnation);
-/// Nothing where each proxy has a budget by itself.
-std::optional<RetryBudgets::FleetBudget> fleetBudget(const std::optional<RetrySettings> &retries);
 RoutingState::Settings routingSettings(const ProxySettings &settings);
 UpstreamSelector::Settings selectorSettings(const ProxySettings &settings);
 
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -167,7 +167,7 @@
 
 void RequestTask::handle(const RetriesChanged &change)
 {
-    m_routing.retries.setFleetBudget(fleetBudget(change.retries));
+    m_routing.retries.setFleetBudget(change.retries);
 }
 
 void RequestTask::handle(const ProxyCountChanged &change)
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -74,7 +74,7 @@
 /// Another retry budget, from the settings.
 struct RetriesChanged
 {
-    std::optional<RetrySettings> retries;
+    std::optional<RetryBudgets::FleetBudget> retries;
 };
 
 using RequestTaskMessage = std::variant<CallerLimitsChanged,
--- a/Libraries/LibProxy/UpstreamClient.cpp
+++ b/Libraries/LibProxy/UpstreamClient.cpp
@@ -31,7 +31,6 @@
 struct UpstreamClient::Connection
 {
     std::uint64_t id = 0;
-    SocketAddress address;
     std::unique_ptr<TcpStream> stream;
     HttpParser parser;
     std::unique_ptr<Exchange> exchange;
@@ -91,10 +90,8 @@
 UpstreamClient::Connection &UpstreamClient::openConnection()
 {
     const std::uint64_t id = m_nextConnectionId++;
-    ++m_connectionsOpened;
     auto connection = std::make_unique<Connection>(HttpLimits {MaximumHeadBytes, m_maximumAnswerBytes});
     connection->id = id;
-    connection->address = m_address;
     connection->stream = TcpStream::connect(
         m_address, [this, id](std::string_view bytes) { receive(id, bytes); }, [this, id](const StreamEnd &how) { end(id, how); });
     return *(m_connections[id] = std::move(connection));
@@ -115,7 +112,7 @@
         closeIdleConnections();
     }
     if (connection == nullptr && m_connections.size() >= m_maximumConnections) {
-        report(UpstreamRequestFailed {localId, false, false, {ErrorCode::UpstreamBusy, "every connection is in use"}});
+        m_onEvent(UpstreamRequestFailed {localId, false, false, {ErrorCode::UpstreamBusy, "every connection is in use"}});
         return;
     }
     send(connection != nullptr ? *connection : openConnection(), std::move(exchange), std::move(bytes));
@@ -148,26 +145,27 @@
     while (true) {
         Result<std::optional<HttpMessage>> next = connection.parser.tryNext();
         if (isError(next)) {
-            fail(connectionId, false, errorOf(next));
+            fail(connectionId, true, false, errorOf(next));
             return;
         }
         std::optional<HttpMessage> message = valueOf(std::move(next));
         if (!message) {
             return;
         }
-        if (m_protocol.classifyAnswer(connection.exchange->request, *message) != UpstreamAnswerKind::Foreign) {
-            complete(connection, std::move(*message));
+        const UpstreamAnswerKind kind = m_protocol.classifyAnswer(connection.exchange->request, *message);
+        if (kind != UpstreamAnswerKind::Foreign) {
+            complete(connection, std::move(*message), kind);
             return;
         }
         connection.isLast = true;
         if (message->isLast) {
-            fail(connectionId, false, {ErrorCode::AnswerTruncated, "the upstream answered another request and closed"});
+            fail(connectionId, true, false, {ErrorCode::AnswerTruncated, "the upstream answered another request and closed"});
             return;
         }
     }
 }
 
-void UpstreamClient::complete(Connection &connection, HttpMessage message)
+void UpstreamClient::complete(Connection &connection, HttpMessage message, UpstreamAnswerKind kind)
 {
     const std::unique_ptr<Exchange> exchange = std::move(connection.exchange);
     const TimePoint now = m_clock.now();
@@ -177,7 +175,6 @@
     // the next request; bytes behind an answer belong to no request.
     const bool isReusable = !message.isLast && !connection.isLast && connection.stream->bytesQueued() == 0
         && connection.parser.isBetweenMessages() && connection.stream->isOpen();
-    const UpstreamAnswerKind kind = m_protocol.classifyAnswer(exchange->request, message);
     if (!isReusable) {
         m_connections.erase(connection.id);
     }
@@ -188,7 +185,7 @@
     answered.body = std::move(message.body);
     answered.wasRefused = kind == UpstreamAnswerKind::Refusal;
     answered.elapsed = now - exchange->startedAt;
-    report(std::move(answered));
+    m_onEvent(std::move(answered));
 }
 
 void UpstreamClient::end(std::uint64_t connectionId, const StreamEnd &how)
@@ -204,28 +201,24 @@
     }
     if (how.isOrderly) {
         Result<std::optional<HttpMessage>> last = connection.parser.tryEnd();
-        const bool isWhole = !isError(last) && valueOf(last)
-            && m_protocol.classifyAnswer(connection.exchange->request, *valueOf(last)) != UpstreamAnswerKind::Foreign;
-        if (isWhole) {
-            complete(connection, *valueOf(std::move(last)));
+        const bool isWhole = !isError(last) && valueOf(last);
+        const UpstreamAnswerKind kind =
+            isWhole ? m_protocol.classifyAnswer(connection.exchange->request, *valueOf(last)) : UpstreamAnswerKind::Foreign;
+        if (kind != UpstreamAnswerKind::Foreign) {
+            complete(connection, *valueOf(std::move(last)), kind);
             return;
         }
     }
-    if (how.neverConnected) {
-        const std::unique_ptr<Connection> ended = std::move(found->second);
-        m_connections.erase(found);
-        report(UpstreamRequestFailed {ended->exchange->localId, false, true, {ErrorCode::ConnectionRefused, how.detail}});
-        return;
-    }
-    fail(connectionId, true, {ErrorCode::ConnectionClosed, how.detail});
+    const ErrorCode code = how.neverConnected ? ErrorCode::ConnectionRefused : ErrorCode::ConnectionClosed;
+    fail(connectionId, !how.neverConnected, true, {code, how.detail});
 }
 
-void UpstreamClient::fail(std::uint64_t connectionId, bool isConnectionBroken, Error error)
+void UpstreamClient::fail(std::uint64_t connectionId, bool mayHaveRun, bool isConnectionBroken, Error error)
 {
     const auto found = m_connections.find(connectionId);
     const std::unique_ptr<Connection> ended = std::move(found->second);
     m_connections.erase(found);
-    report(UpstreamRequestFailed {ended->exchange->localId, true, isConnectionBroken, std::move(error)});
+    m_onEvent(UpstreamRequestFailed {ended->exchange->localId, mayHaveRun, isConnectionBroken, std::move(error)});
 }
 
 void UpstreamClient::abort(std::uint64_t localId)
@@ -234,7 +227,7 @@
         return entry.second->exchange != nullptr && entry.second->exchange->localId == localId;
     });
     if (found != m_connections.end()) {
-        fail(found->first, false, {ErrorCode::Cancelled, "broken off"});
+        fail(found->first, true, false, {ErrorCode::Cancelled, "broken off"});
     }
 }
 
@@ -272,16 +265,11 @@
         }
     }
     for (const std::uint64_t id : overdue) {
-        fail(id, false, {ErrorCode::DeadlineExceeded, "the upstream hangs"});
+        fail(id, true, false, {ErrorCode::DeadlineExceeded, "the upstream hangs"});
     }
     if (isAnyRunning) {
         m_expiryTimer.setDeadline(m_clock.now() + ExpiryInterval);
     }
 }
 
-void UpstreamClient::report(UpstreamClientEvent event)
-{
-    m_onEvent(std::move(event));
-}
-
 } // namespace Fuchsiastep
--- a/Libraries/LibProxy/UpstreamClient.h
+++ b/Libraries/LibProxy/UpstreamClient.h
@@ -67,12 +67,6 @@
     /// Opens a connection and tells whether the upstream still listens. An upstream that refuses connections is gone.
     void checkListening(std::function<void(bool isListening)> onResult);
 
-    /// Connections opened since the start.
-    std::uint64_t connectionsOpened() const
-    {
-        return m_connectionsOpened;
-    }
-
 private:
     struct Exchange;
     struct Connection;
@@ -82,10 +76,9 @@
     void send(Connection &connection, std::unique_ptr<Exchange> exchange, std::string bytes);
     void receive(std::uint64_t connectionId, std::string_view bytes);
     void end(std::uint64_t connectionId, const StreamEnd &how);
-    void complete(Connection &connection, HttpMessage message);
-    void fail(std::uint64_t connectionId, bool isConnectionBroken, Error error);
+    void complete(Connection &connection, HttpMessage message, UpstreamAnswerKind kind);
+    void fail(std::uint64_t connectionId, bool mayHaveRun, bool isConnectionBroken, Error error);
     void expireRuns();
-    void report(UpstreamClientEvent event);
 
     const Clock &m_clock;
     const EdgeProtocol &m_protocol;
@@ -94,7 +87,6 @@
     SocketAddress m_address;
     std::uint32_t m_maximumConnections = 0;
     std::uint64_t m_nextConnectionId = 1;
-    std::uint64_t m_connectionsOpened = 0;
     std::map<std::uint64_t, std::unique_ptr<Connection>> m_connections;
     std::map<std::uint64_t, std::unique_ptr<TcpStream>> m_checks;
     std::uint64_t m_nextCheckId = 1;
--- a/Libraries/LibWire/TcpStream.cpp
+++ b/Libraries/LibWire/TcpStream.cpp
@@ -301,11 +301,6 @@
     return m_state->socket != nullptr;
 }
 
-bool TcpStream::isConnecting() const
-{
-    return m_state->isConnecting;
-}
-
 std::size_t TcpStream::bytesQueued() const
 {
     return m_state->output.size() - m_state->outputBegin;
--- a/Libraries/LibWire/TcpStream.h
+++ b/Libraries/LibWire/TcpStream.h
@@ -55,7 +55,6 @@
     void close();
 
     bool isOpen() const;
-    bool isConnecting() const;
     std::size_t bytesQueued() const;
     std::uint64_t bytesSent() const;
     std::uint64_t bytesReceived() const;
