Log the source of each configuration and what is known of crash suspects

- ConfigurationAdopted names its source, the platform or a peer.
- fuchsiastep_platform_answered_unix_seconds is the time of the last answer about the configuration, so that calls that are neither answered nor refused show.
- PlatformCallFailed gives the elapsed time of the whole call and the wait that a watch asked for.
A watch that ended early used to show a negative time.
- SuspectChanged (6018) shows each change of what a proxy knows about a fingerprint; UpstreamCrashed names the fingerprints in flight, RequestPlaced whether the run is to be alone.

No decision changes.

--- a/Libraries/LibCore/LogEvent.cpp
+++ b/Libraries/LibCore/LogEvent.cpp
@@ -75,6 +75,10 @@
     LogEventInfo {LogEvent::RequestPlaced, "RequestPlaced", LogLevel::Info, "A request was sent to the proxy beside an upstream."},
     LogEventInfo {LogEvent::RunStarted, "RunStarted", LogLevel::Info, "A request was sent to the upstream beside this proxy."},
     LogEventInfo {LogEvent::RunEnded, "RunEnded", LogLevel::Info, "The upstream beside this proxy answered a request, or did not."},
+    LogEventInfo {LogEvent::SuspectChanged,
+        "SuspectChanged",
+        LogLevel::Info,
+        "This proxy knows of another crash with a request in flight, or that the request has run alone to its end."},
     LogEventInfo {LogEvent::OperatorRequestRejected, "OperatorRequestRejected", LogLevel::Info, "An operator request is not valid."},
 };
 
--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -64,6 +64,7 @@
     RequestPlaced = 6015,
     RunStarted = 6016,
     RunEnded = 6017,
+    SuspectChanged = 6018,
 
     OperatorRequestRejected = 7000,
 };
--- a/Libraries/LibPlatform/PlatformClient.cpp
+++ b/Libraries/LibPlatform/PlatformClient.cpp
@@ -241,9 +241,10 @@
 void PlatformClient::report(const Call &call, const PlatformResponse &response)
 {
     const TimePoint now = m_clock.now();
-    const Duration elapsed = now - call.sentAt - waitOf(call.request);
+    const Duration elapsed = now - call.sentAt;
+    const Duration wait = waitOf(call.request);
     const auto *failure = std::get_if<PlatformFailure>(&response);
-    if (failure == nullptr && elapsed < SlowCall) {
+    if (failure == nullptr && elapsed < wait + SlowCall) {
         return;
     }
     if (m_lastReport && now - *m_lastReport < ReportInterval) {
@@ -252,7 +253,12 @@
     }
     const LogEvent event = failure != nullptr ? LogEvent::PlatformCallFailed : LogEvent::PlatformCallSlow;
     const std::string outcome = failure != nullptr ? describe(failure->error) : "answered";
-    logEvent(event, {{"call", nameOf(call.request)}, {"elapsed_us", elapsed.count()}, {"outcome", outcome}, {"unreported", m_unreported}});
+    logEvent(event,
+        {{"call", nameOf(call.request)},
+            {"elapsed_us", elapsed.count()},
+            {"wait_us", wait.count()},
+            {"outcome", outcome},
+            {"unreported", m_unreported}});
     m_lastReport = now;
     m_unreported = 0;
 }
--- a/Libraries/LibProxy/ConfigurationTask.cpp
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -20,6 +20,9 @@
 /// 0.7 s over a link of 5 Mbit/s.
 static constexpr Duration DocumentReadTime = std::chrono::milliseconds(1500);
 
+/// Names the platform where a log line names the source of a configuration; other sources are peers.
+static constexpr const char *PlatformSource = "platform";
+
 static DistributorSettings distributorSettings(const DistributionSettings &settings, bool hasDocument)
 {
     DistributorSettings distributor;
@@ -95,6 +98,7 @@
         run(m_reader.handle(VersionNudge {nudge->version}));
         return;
     }
+    m_configurationSource = frame.peer;
     run(m_distributor.handle(frame));
     run(m_gate.handle(frame));
 }
@@ -267,6 +271,7 @@
                        },
                        [this](const ConfigurationFound &found) {
                            m_highestVersionSeen = std::max(m_highestVersionSeen, found.configuration->version());
+                           m_configurationSource = PlatformSource;
                            run(m_distributor.handle(found));
                        },
                        [this](const ReaderFailure &failure) {
@@ -342,7 +347,10 @@
     m_adoptedUnixMs = m_clock.unixMilliseconds();
     m_metrics.setGauge("fuchsiastep_configuration_version", static_cast<double>(configuration->version()));
     logEvent(LogEvent::ConfigurationAdopted,
-        {{"version", configuration->version()}, {"digest", configuration->digest().toHex()}, {"unix_ms", m_adoptedUnixMs}});
+        {{"version", configuration->version()},
+            {"digest", configuration->digest().toHex()},
+            {"unix_ms", m_adoptedUnixMs},
+            {"source", m_configurationSource}});
     changeView(m_view->withConfiguration(configuration));
     m_onEvent(VersionHeld {{configuration->version(), configuration->digest()}});
     run(m_reader.handle(ConfigurationHeld {configuration}));
@@ -410,6 +418,7 @@
     if (isPassedOn) {
         found.content = delta;
     }
+    m_configurationSource = PlatformSource;
     run(m_distributor.handle(found));
 }
 
@@ -443,6 +452,11 @@
         run(m_distributor.handle(PlatformReadability {isReadable}));
     }
     m_metrics.setGauge("fuchsiastep_platform_reachable", isReadable ? 1 : 0);
+    if (isReadable) {
+        constexpr double MillisecondsPerSecond = 1000;
+        const auto unixSeconds = static_cast<double>(m_clock.unixMilliseconds()) / MillisecondsPerSecond;
+        m_metrics.setGauge("fuchsiastep_platform_answered_unix_seconds", unixSeconds);
+    }
 }
 
 void ConfigurationTask::updateReaderRole()
--- a/Libraries/LibProxy/ConfigurationTask.h
+++ b/Libraries/LibProxy/ConfigurationTask.h
@@ -141,6 +141,8 @@
     bool m_isPlatformReadable = true;
     std::int64_t m_adoptedUnixMs = 0;
     ConfigurationVersion m_highestVersionSeen = 0;
+    /// Where the configuration that is handled now comes from, for the log.
+    std::string m_configurationSource;
 
     std::uint64_t m_nextChangeId = 1;
     std::map<std::uint64_t, std::unique_ptr<ChangeInProgress>> m_changes;
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -381,7 +381,8 @@
                                    {"version", m_view->configuration()->version()},
                                    {"time_left_ms", send.frame.timeLeftMs},
                                    {"target_left_ms", send.frame.targetLeftMs},
-                                   {"maximum_wait_ms", send.frame.maximumWaitMs}});
+                                   {"maximum_wait_ms", send.frame.maximumWaitMs},
+                                   {"alone", send.frame.isIsolated}});
                            m_coordinator.noteConnection(send.frame.requestId, m_links.sendTo(send.proxyId, send.address, send.frame));
                        },
                        [this](const SendCancel &cancel) { m_links.sendToOpen(cancel.proxyId, cancel.frame); },
@@ -391,6 +392,15 @@
     }
 }
 
+static std::string joined(const std::vector<std::uint64_t> &numbers)
+{
+    std::string text;
+    for (const std::uint64_t number : numbers) {
+        text += (text.empty() ? "" : ",") + std::to_string(number);
+    }
+    return text;
+}
+
 void RequestTask::run(std::vector<GateOutput> outputs)
 {
     for (GateOutput &output : outputs) {
@@ -414,7 +424,10 @@
                        [this](const DrainFinished &) { m_isGateDrained = true; },
                        [](const CrashReport &report) {
                            logEvent(LogEvent::UpstreamCrashed,
-                               {{"upstream", report.upstreamId}, {"in_flight", report.fingerprints.size()}, {"alone", report.wasAlone}});
+                               {{"upstream", report.upstreamId},
+                                   {"in_flight", report.fingerprints.size()},
+                                   {"fingerprints", joined(report.fingerprints)},
+                                   {"alone", report.wasAlone}});
                        },
                    },
             output);
@@ -483,6 +496,11 @@
     constexpr std::size_t MaximumSuspectsPerTurn = 32;
     std::vector<CrashSuspectEntry> suspects = m_routing.suspects.takeChanges(MaximumSuspectsPerTurn);
     for (const CrashSuspectEntry &entry : suspects) {
+        logEvent(LogEvent::SuspectChanged,
+            {{"fingerprint", entry.fingerprint},
+                {"crashes", entry.count % CrashSuspects::AloneCrashWeight},
+                {"crashes_alone", entry.count / CrashSuspects::AloneCrashWeight},
+                {"blamed", entry.isBlamed}});
         if (entry.isBlamed) {
             logEvent(LogEvent::FingerprintBlamed, {{"fingerprint", entry.fingerprint}, {"crashes", entry.count}});
         }
