--- a/Tests/LibConfiguration/TestDocumentReader.cpp
+++ b/Tests/LibConfiguration/TestDocumentReader.cpp
@@ -5,6 +5,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
+#include <map>
+#include <set>
 
 namespace Fuchsiastep {
 
@@ -12,6 +14,7 @@
 {
     CPPUNIT_TEST_SUITE(TestDocumentReader);
     CPPUNIT_TEST(testEveryDocumentIsFoundThroughOutages);
+    CPPUNIT_TEST(testUnansweredCallsDelayNoChange);
     CPPUNIT_TEST(testWantedDocumentIsReadWhileWatching);
     CPPUNIT_TEST(testHostRoutes);
     CPPUNIT_TEST_SUITE_END();
@@ -68,6 +71,178 @@
         }
     }
 
+    /// A platform that holds a watch until the document changes, and that answers no call while it is silent: not even
+    /// later, when it answers new calls again.
+    class SilentPlatform
+    {
+    public:
+        using Queue = SeededQueue<std::function<void()>>;
+        using Reply = std::function<void(CallId id, const PlatformResponse &response)>;
+
+        SilentPlatform(Clock &clock, Queue &queue, Reply reply) : m_clock(clock), m_queue(queue), m_reply(std::move(reply))
+        { }
+
+        void change()
+        {
+            ++m_revision;
+            if (isSilent) {
+                return;
+            }
+            for (const auto &[id, watch] : std::exchange(m_watches, {})) {
+                answer(id, rows());
+            }
+        }
+
+        void setSilent(bool silent)
+        {
+            isSilent = silent;
+            m_watches.clear();
+        }
+
+        void receive(const PlatformCall &call)
+        {
+            ++calls;
+            const auto *watch = std::get_if<WatchRows>(&call.request);
+            const Duration wait = watch != nullptr ? watch->wait : Duration(0);
+            m_open.insert(call.id);
+            // What the client does with a call that is not answered.
+            later(wait + PlatformClientSettings().timeout, call.id, PlatformFailure {{ErrorCode::PlatformUnavailable, "timeout"}});
+            if (isSilent) {
+                return;
+            }
+            if (watch == nullptr) {
+                answer(call.id, Rows {{row()}, m_revision});
+            } else if (watch->afterRevision < m_revision) {
+                answer(call.id, rows());
+            } else {
+                m_watches.emplace(call.id, *watch);
+                m_queue.schedule(
+                    [this, id = call.id] {
+                        if (m_watches.erase(id) != 0) {
+                            answer(id, RowsChanged {{}, m_revision});
+                        }
+                    },
+                    wait);
+            }
+        }
+
+        std::uint64_t revision() const
+        {
+            return m_revision;
+        }
+
+        bool isSilent = false;
+        std::size_t calls = 0;
+
+    private:
+        Row row() const
+        {
+            return {Key, m_revision, std::to_string(m_revision)};
+        }
+
+        RowsChanged rows() const
+        {
+            return {{row()}, m_revision};
+        }
+
+        void answer(CallId id, const PlatformResponse &response)
+        {
+            later(std::chrono::milliseconds(4), id, response);
+        }
+
+        void later(Duration delay, CallId id, const PlatformResponse &response)
+        {
+            m_queue.schedule(
+                [this, id, response] {
+                    if (m_open.erase(id) != 0) {
+                        m_reply(id, response);
+                    }
+                },
+                delay);
+        }
+
+        Clock &m_clock;
+        Queue &m_queue;
+        Reply m_reply;
+        std::uint64_t m_revision = 1;
+        std::map<CallId, WatchRows> m_watches;
+        std::set<CallId> m_open;
+    };
+
+    // Guards against a watch that is never answered and holds up every later change: the platform was silent for a while
+    // and forgot the calls that it had received. A change must be found within the time in which it has to be in force,
+    // counted from its acknowledgement or from the time at which the platform has been stable for long enough.
+    void testUnansweredCallsDelayNoChange()
+    {
+        constexpr Duration InForce = std::chrono::seconds(2);
+        constexpr Duration Stable = std::chrono::seconds(3);
+        // Left for the distribution to the other proxies.
+        constexpr Duration Distribution = std::chrono::milliseconds(500);
+        for (std::uint64_t seed = 0; seed < 300; ++seed) {
+            const std::string message = "seed " + std::to_string(seed);
+            Clock clock = Clock::manual();
+            Random random(seed);
+            SilentPlatform::Queue queue(clock, random, {});
+            DocumentReader reader({Key}, clock, random);
+            std::string found;
+            std::function<void(std::vector<DocumentReaderOutput>)> apply;
+            SilentPlatform platform(clock, queue, [&](CallId id, const PlatformResponse &response) {
+                apply(reader.handle(PlatformReply {id, response}));
+            });
+            apply = [&](std::vector<DocumentReaderOutput> outputs) {
+                for (const DocumentReaderOutput &output : outputs) {
+                    if (const auto *call = std::get_if<PlatformCall>(&output)) {
+                        platform.receive(*call);
+                    } else if (const auto *document = std::get_if<DocumentFound>(&output)) {
+                        found = document->content;
+                    }
+                }
+                if (const auto next = reader.nextDeadline()) {
+                    queue.schedule([&] { apply(reader.advance()); }, std::max(Duration(0), *next - clock.now()));
+                }
+            };
+            apply(reader.advance());
+            TimePoint stableAt = clock.now();
+            std::size_t calmCalls = 0;
+            Duration calm {0};
+            for (int outage = 0; outage < 10; ++outage) {
+                const std::size_t callsBefore = platform.calls;
+                const Duration length = random.jitter(std::chrono::seconds(20));
+                pass(clock, queue, length);
+                calmCalls += platform.calls - callsBefore;
+                calm += length;
+                platform.setSilent(true);
+                pass(clock, queue, random.jitter(std::chrono::seconds(6)));
+                platform.change();
+                platform.setSilent(false);
+                stableAt = clock.now() + Stable;
+                for (int change = 0; change < 5; ++change) {
+                    pass(clock, queue, random.jitter(std::chrono::seconds(1)));
+                    platform.change();
+                    const TimePoint due = std::max(stableAt, clock.now() + InForce) - Distribution;
+                    const std::uint64_t revision = platform.revision();
+                    queue.schedule(
+                        [&found, revision, message] {
+                            CPPUNIT_ASSERT_MESSAGE(
+                                message + ": found " + found + ", not " + std::to_string(revision), std::stoull(found) >= revision);
+                        },
+                        due - clock.now());
+                }
+                pass(clock, queue, std::chrono::seconds(5));
+            }
+            // A data centre that asks twice a second would take a share of the platform's reads that grows with their number.
+            CPPUNIT_ASSERT_MESSAGE(message, static_cast<double>(calmCalls) < 2 * std::chrono::duration<double>(calm).count() + 30);
+        }
+    }
+
+    /// Runs what is due within \a length, which passes whole.
+    static void pass(Clock &clock, SeededQueue<std::function<void()>> &queue, Duration length)
+    {
+        const TimePoint end = clock.now() + length;
+        runUntil(queue, end);
+        clock.advance(end - clock.now());
+    }
+
     static void runUntil(SeededQueue<std::function<void()>> &queue, TimePoint end)
     {
         while (const auto event = queue.next(end)) {
--- a/Tests/LibMembership/Cluster.h
+++ b/Tests/LibMembership/Cluster.h
@@ -91,6 +91,8 @@
         bool isPlatformCut = false;
         ConfigurationVersion highestHeld = 0;
         ConfigurationVersion heldBefore = 0;
+        /// Fingerprints of crash suspects that the current process knows.
+        std::set<std::uint64_t> suspects;
     };
     struct Datagram
     {
@@ -127,6 +129,7 @@
         node.proxy = std::make_unique<Proxy>(record, clock, random);
         node.proxy->nextPoll = clock.now() + random.jitter(std::chrono::milliseconds(500));
         node.heldBefore = std::exchange(node.highestHeld, 0);
+        node.suspects.clear();
         ++node.restarts;
         step(index);
     }
@@ -160,6 +163,18 @@
         nodes[index].proxy->isFrozen = false;
         step(index);
     }
+    /// The upstream beside a proxy crashed while it ran a request.
+    void recordCrash(std::size_t index, const CrashSuspectEntry &entry)
+    {
+        nodes[index].suspects.insert(entry.fingerprint);
+        drain(index, nodes[index].proxy->detector.handle(CrashSuspectRecorded {entry}));
+        settle(index);
+    }
+    bool allSuspect(std::uint64_t fingerprint) const
+    {
+        return std::all_of(
+            nodes.begin(), nodes.end(), [&](const Node &node) { return !node.proxy || node.suspects.contains(fingerprint); });
+    }
     void leave(std::size_t index)
     {
         drain(index, nodes[index].proxy->detector.handle(LeaveRequested {}));
@@ -417,6 +432,10 @@
     {
         drain(index, nodes[index].proxy->gate.handle(ProcessResumed {}));
     }
+    void put(std::size_t index, const CrashSuspectLearned &learned)
+    {
+        nodes[index].suspects.insert(learned.entry.fingerprint);
+    }
     template<typename Report>
     void put(std::size_t, const Report &)
     { }
--- a/Tests/LibMembership/TestMembers.cpp
+++ b/Tests/LibMembership/TestMembers.cpp
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(testLeavingMemberIsOutWithinSeconds);
     CPPUNIT_TEST(testTwoMembers);
     CPPUNIT_TEST(testDataCentresExchangeMembers);
+    CPPUNIT_TEST(testCrashSuspectsReachEveryProxy);
+    CPPUNIT_TEST(testCrashSuspectsReachProxiesThatWereCutOff);
+    CPPUNIT_TEST(testCrashSuspectsReachRestartedProxies);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t Seeds = 20;
@@ -265,6 +268,74 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(cluster.seed, std::size_t {0}, cluster.falseRemovals);
         }
     }
+
+    static constexpr std::uint64_t Fingerprint = 4711;
+    /// Within this time every proxy has to know of a crash, or it sends the request to further upstreams.
+    static constexpr Duration SuspectSpreadTime = seconds(3);
+
+    static Cluster clusterOfDataCentres(std::uint64_t seed)
+    {
+        Cluster cluster(seed, {.lossProbability = 0.05});
+        for (const std::string dataCentre : {"toowoomba", "gatton", "ipswich", "brisbane"}) {
+            cluster.add(4, dataCentre);
+        }
+        cluster.introduceAll();
+        cluster.run(seconds(5));
+        return cluster;
+    }
+
+    // Guards against a request that crashes upstreams in each data centre anew, because the crashes are known only in the
+    // data centres where they happened.
+    void testCrashSuspectsReachEveryProxy()
+    {
+        for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+            Cluster cluster = clusterOfDataCentres(seed);
+            cluster.recordCrash(cluster.random.below(cluster.nodes.size()), {Fingerprint, 1, cluster.clock.unixMilliseconds(), false});
+            cluster.runUntil([&] { return cluster.allSuspect(Fingerprint); }, SuspectSpreadTime, "a proxy does not know of the crash");
+        }
+    }
+
+    // Guards against a data centre that was cut off during the crash and does not learn of it afterwards.
+    void testCrashSuspectsReachProxiesThatWereCutOff()
+    {
+        for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+            Cluster cluster = clusterOfDataCentres(seed);
+            const auto isInside = [](std::size_t index) {
+                return index < 4;
+            };
+            cluster.isCut = [&](std::size_t from, std::size_t to) {
+                return isInside(from) != isInside(to);
+            };
+            cluster.run(seconds(1));
+            cluster.recordCrash(4 + cluster.random.below(12), {Fingerprint, 1, cluster.clock.unixMilliseconds(), false});
+            cluster.run(seconds(1) + cluster.random.jitter(seconds(15)));
+            cluster.isCut = [](std::size_t, std::size_t) {
+                return false;
+            };
+            cluster.runUntil([&] { return cluster.allSuspect(Fingerprint); }, SuspectSpreadTime, "not known after the cut");
+        }
+    }
+
+    // Guards against restarted proxies, also a whole data centre of them, that send the request on because they know nothing
+    // of earlier crashes.
+    void testCrashSuspectsReachRestartedProxies()
+    {
+        for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+            Cluster cluster = clusterOfDataCentres(seed);
+            cluster.recordCrash(cluster.random.below(cluster.nodes.size()), {Fingerprint, 1, cluster.clock.unixMilliseconds(), false});
+            cluster.run(seconds(40));
+            const std::size_t first = 4 * cluster.random.below(4);
+            const std::size_t count = seed % 2 == 0 ? 4 : 1;
+            for (std::size_t index = first; index < first + count; ++index) {
+                cluster.kill(index);
+            }
+            cluster.run(milliseconds(500));
+            for (std::size_t index = first; index < first + count; ++index) {
+                cluster.start(index);
+            }
+            cluster.runUntil([&] { return cluster.allSuspect(Fingerprint); }, SuspectSpreadTime, "not known after the restart");
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestMembers);
--- a/Tests/LibPlatform/TestPlatformClient.cpp
+++ b/Tests/LibPlatform/TestPlatformClient.cpp
@@ -2,7 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
+#include <memory>
 #include <set>
+#include <vector>
 
 namespace Fuchsiastep {
 
@@ -82,6 +85,94 @@
     }
 };
 
+/// An HTTP server that answers every request with an empty text. Once it is mute, connections that are open stay open and are
+/// never answered again, while new ones are.
+class MutedServer
+{
+public:
+    MutedServer() : m_service(g_socket_service_new())
+    {
+        const guint16 port = g_socket_listener_add_any_inet_port(G_SOCKET_LISTENER(m_service), nullptr, nullptr);
+        g_signal_connect(m_service, "incoming", G_CALLBACK(onIncoming), this);
+        settings.baseUrl = "http://127.0.0.1:" + std::to_string(port);
+        settings.protocol.encode = [](const PlatformRequest &) {
+            return PlatformHttpRequest {"GET", "/", {}};
+        };
+        settings.protocol.tryDecode = [](const PlatformRequest &, unsigned, std::string_view) {
+            return Result<PlatformResponse>(Rows {});
+        };
+    }
+    ~MutedServer()
+    {
+        g_socket_service_stop(m_service);
+        for (const auto &connection : m_connections) {
+            g_io_stream_close(connection->stream, nullptr, nullptr);
+            g_object_unref(connection->stream);
+        }
+        g_object_unref(m_service);
+    }
+    MutedServer(const MutedServer &) = delete;
+    MutedServer &operator=(const MutedServer &) = delete;
+
+    void muteOpenConnections()
+    {
+        for (const auto &connection : m_connections) {
+            connection->isMute = true;
+        }
+    }
+    std::size_t connections() const
+    {
+        return m_connections.size();
+    }
+
+    PlatformClientSettings settings;
+
+private:
+    struct Connection
+    {
+        GIOStream *stream;
+        bool isMute = false;
+        std::array<char, 4096> input {};
+    };
+
+    static gboolean onIncoming(GSocketService *, GSocketConnection *stream, GObject *, gpointer data)
+    {
+        auto &self = *static_cast<MutedServer *>(data);
+        self.m_connections.push_back(std::make_unique<Connection>(Connection {G_IO_STREAM(g_object_ref(stream))}));
+        read(*self.m_connections.back());
+        return TRUE;
+    }
+
+    static void read(Connection &connection)
+    {
+        g_input_stream_read_async(g_io_stream_get_input_stream(connection.stream),
+            connection.input.data(),
+            connection.input.size(),
+            G_PRIORITY_DEFAULT,
+            nullptr,
+            onRead,
+            &connection);
+    }
+
+    static void onRead(GObject *stream, GAsyncResult *result, gpointer data)
+    {
+        const gssize count = g_input_stream_read_finish(G_INPUT_STREAM(stream), result, nullptr);
+        if (count <= 0) {
+            return;
+        }
+        auto &connection = *static_cast<Connection *>(data);
+        if (!connection.isMute) {
+            constexpr std::string_view Answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            g_output_stream_write_all(
+                g_io_stream_get_output_stream(connection.stream), Answer.data(), Answer.size(), nullptr, nullptr, nullptr);
+        }
+        read(connection);
+    }
+
+    GSocketService *m_service;
+    std::vector<std::unique_ptr<Connection>> m_connections;
+};
+
 class TestPlatformClient : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestPlatformClient);
@@ -91,6 +182,7 @@
     CPPUNIT_TEST(testConnectionRefused);
     CPPUNIT_TEST(testMalformedAnswers);
     CPPUNIT_TEST(testConnectionsAreReused);
+    CPPUNIT_TEST(testSilentConnectionsAreNotUsedAgain);
     CPPUNIT_TEST(testWaitingCallsAreNotSent);
     CPPUNIT_TEST(testConcurrentCallsGetTheirOwnAnswers);
     CPPUNIT_TEST(testDestructionDropsCallbacks);
@@ -240,6 +332,23 @@
     }
 
     // Guards against a write that is reported as without effect while it waits, and is sent later.
+    // Guards against calls that time out one after the other on idle connections which went silent together with the first.
+    void testSilentConnectionsAreNotUsedAgain()
+    {
+        MutedServer server;
+        server.settings.timeout = std::chrono::seconds(1);
+        PlatformClient client(server.settings);
+        std::size_t answered = 0;
+        for (int i = 0; i < 4; ++i) {
+            client.send(ReadRows {}, [&](const PlatformResponse &) { ++answered; });
+        }
+        iterateUntil([&] { return answered == 4; });
+        CPPUNIT_ASSERT(server.connections() > 1);
+        server.muteOpenConnections();
+        CPPUNIT_ASSERT_EQUAL(ErrorCode::PlatformUnavailable, codeOf(call(client, ReadRows {})));
+        CPPUNIT_ASSERT_EQUAL(ErrorCode::None, codeOf(call(client, ReadRows {})));
+    }
+
     void testWaitingCallsAreNotSent()
     {
         LoopbackPlatform platform;
--- a/Tests/LibRouting/TestEvidence.cpp
+++ b/Tests/LibRouting/TestEvidence.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(testAtMostAThirdIsEjected);
     CPPUNIT_TEST(testOwnEvidenceOutranksHealthReports);
     CPPUNIT_TEST(testKillerIsBlamedAfterThreeCrashes);
+    CPPUNIT_TEST(testCrashesSeenByDifferentProxiesAddUp);
     CPPUNIT_TEST(testBurstOfOrdinaryCrashesBlamesNobody);
     CPPUNIT_TEST(testSuspectsAreBoundedAndMergeInAnyOrder);
     CPPUNIT_TEST_SUITE_END();
@@ -125,6 +126,26 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(flakyCrashes), flakyCrashes <= 10 * Seeds);
     }
 
+    // Guards against a request that crashes one upstream beside each proxy and is never isolated, because no proxy has seen
+    // more than one of the crashes itself.
+    void testCrashesSeenByDifferentProxiesAddUp()
+    {
+        constexpr std::uint64_t Fingerprint = 7;
+        Clock clock = Clock::manual();
+        CrashSuspects first({}, clock);
+        CrashSuspects second({}, clock);
+        first.recordCrash("u1", {Fingerprint}, false);
+        second.recordCrash("u2", {Fingerprint}, false);
+        const std::vector<CrashSuspectEntry> known = first.entries();
+        first.merge(second.entries());
+        second.merge(known);
+        CPPUNIT_ASSERT(first.mustRunAlone(Fingerprint));
+        CPPUNIT_ASSERT(second.mustRunAlone(Fingerprint));
+        // What is told again is no further crash.
+        first.merge(second.entries());
+        CPPUNIT_ASSERT(first.entries() == second.entries());
+    }
+
     // Guards against innocents blamed because upstreams crash for reasons of their own, even while one of the
     // innocents runs in isolation.
     void testBurstOfOrdinaryCrashesBlamesNobody()
