Bound how long an unanswered watch can hide a change

Cause: a proxy took "the watch has not ended" for "nothing has changed". A platform that is silent for a while may answer new calls later and never the watches that it received meanwhile. Such a watch ended after its own 20 s and the timeout of the call; no failure was seen before, so neither the backoff nor the pull from other data centres began. All proxies that share the outage were behind at the same time.

Change: the time without a confirmed version is bounded by design. The watch of the first reader of a data centre waits for 1 s, that of each following reader twice as long, and an overdue one leads to a read at once. A reader that moves up in the order shortens its watch.

--- a/Libraries/LibConfiguration/DocumentReader.cpp
+++ b/Libraries/LibConfiguration/DocumentReader.cpp
@@ -28,7 +28,8 @@
     }
     if (m_nextWatch && now >= *m_nextWatch) {
         m_nextWatch.reset();
-        m_watchCall = call(WatchRows {m_settings.key, m_watchedRevision, m_settings.watchTime});
+        m_watchDue = now + watchTime();
+        m_watchCall = call(WatchRows {m_settings.key, m_watchedRevision, watchTime()});
     }
     return takeOutputs();
 }
@@ -52,14 +53,25 @@
 {
     const bool hasBegun = role.isWatching && !m_isWatching;
     m_isWatching = role.isWatching;
+    m_rank = role.rank;
     if (hasBegun) {
         // Changes may have come since the last read.
         accept(DocumentWanted {});
     } else if (!m_isWatching) {
         m_nextWatch.reset();
+    } else if (m_watchCall && m_clock.now() + watchTime() < m_watchDue) {
+        m_watchCall.reset();
+        m_nextWatch = m_clock.now();
     }
 }
 
+Duration DocumentReader::watchTime() const
+{
+    // Longer watches than this would save hardly any calls.
+    constexpr std::uint32_t MaximumDoublings = 4;
+    return m_settings.watchTime * (1U << std::min(m_rank, MaximumDoublings));
+}
+
 void DocumentReader::accept(const PlatformReply &reply)
 {
     if (m_readCall == reply.id) {
@@ -75,7 +87,7 @@
 {
     const auto *rows = std::get_if<Rows>(&response);
     if (rows == nullptr) {
-        fail(response);
+        fail(response, false);
         return;
     }
     m_backoff.reset();
@@ -96,7 +108,7 @@
     } else if (std::holds_alternative<HistoryGone>(response)) {
         m_nextRead = m_clock.now();
     } else {
-        fail(response);
+        fail(response, m_clock.now() >= m_watchDue);
     }
 }
 
@@ -119,13 +131,14 @@
     m_nextWatch = m_clock.now() + (hasChanged ? m_settings.changePause : m_settings.watchPause);
 }
 
-void DocumentReader::fail(const PlatformResponse &response)
+void DocumentReader::fail(const PlatformResponse &response, bool isOverdue)
 {
     const auto *failure = std::get_if<PlatformFailure>(&response);
     m_outputs.emplace_back(
         DocumentFailure {failure != nullptr ? failure->error : Error {ErrorCode::PlatformMalformedAnswer, "an answer of another kind"}});
     if (!m_readCall && !m_nextRead) {
-        m_nextRead = m_clock.now() + m_backoff.next(m_random);
+        // An overdue watch has spaced the calls already.
+        m_nextRead = m_clock.now() + (isOverdue ? Duration(0) : m_backoff.next(m_random));
     }
 }
 
--- a/Libraries/LibConfiguration/DocumentReader.h
+++ b/Libraries/LibConfiguration/DocumentReader.h
@@ -17,8 +17,9 @@
 {
     /// Key of the row that holds the whole configuration as one document.
     std::string key;
-    /// Longest time that one watch waits for a change.
-    Duration watchTime = std::chrono::seconds(20);
+    /// Longest time that a watch of the first reader of a data centre waits for a change. A watch that the platform has
+    /// lost looks like one without a change until then, so that this bounds how late the data centre learns of one.
+    Duration watchTime = std::chrono::seconds(1);
     /// Least time between two watches, for a platform that answers them without waiting.
     Duration watchPause = std::chrono::milliseconds(50);
     /// Time between a change and the next watch. Of documents that follow each other quickly only the last one is read, so
@@ -37,6 +38,8 @@
 struct WatchRole
 {
     bool isWatching = true;
+    /// Place in the order of the readers. The watches of each wait twice as long as those of the one before.
+    std::uint32_t rank = 0;
 };
 
 using DocumentReaderInput = std::variant<DocumentWanted, WatchRole, PlatformReply>;
@@ -61,8 +64,8 @@
 using DocumentReaderOutput = std::variant<PlatformCall, DocumentFound, DocumentMissing, DocumentFailure>;
 
 /// Follows a configuration that operators write as one document into one row. It reads the row once and then watches
-/// it, so that a change costs one answer and a calm minute a few calls. Every failure leads back to a read, because
-/// changes may have been missed.
+/// it, so that a change costs one answer. Watches are short: one that is never answered must not delay the changes that
+/// follow. Every failure leads back to a read, because changes may have been missed.
 class DocumentReader
 {
 public:
@@ -81,7 +84,8 @@
     void acceptWatch(const PlatformResponse &response);
     bool findDocument(const std::vector<Row> &rows);
     void scheduleWatch(std::uint64_t revision, bool hasChanged);
-    void fail(const PlatformResponse &response);
+    Duration watchTime() const;
+    void fail(const PlatformResponse &response, bool isOverdue);
     CallId call(PlatformRequest request);
     std::vector<DocumentReaderOutput> takeOutputs();
 
@@ -92,9 +96,12 @@
     CallId m_nextCall = 1;
     std::optional<CallId> m_readCall;
     std::optional<CallId> m_watchCall;
+    /// When the watch in progress is answered at the latest, by a platform that has not lost it.
+    TimePoint m_watchDue;
     std::optional<TimePoint> m_nextRead;
     std::optional<TimePoint> m_nextWatch;
     bool m_isWatching = true;
+    std::uint32_t m_rank = 0;
     std::uint64_t m_watchedRevision = 0;
     std::vector<DocumentReaderOutput> m_outputs;
 };
--- a/Libraries/LibProxy/ConfigurationTask.cpp
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -481,7 +481,7 @@
     }
     m_role = role;
     if (m_documents) {
-        run(m_documents->handle(WatchRole {role.isReader}));
+        run(m_documents->handle(WatchRole {role.isReader, role.rank}));
     } else {
         run(m_reader.handle(role));
     }
