Open new connections to the platform after a call times out

Cause: the session keeps idle connections that fare like the one that timed out; TCP notices a silent connection only after the silence limit of 3 s, and an idle one later still.

Change: a call that times out on the network makes the client open a new session. Calls in progress stay on the old one.

TestPlatformClient::testSilentConnectionsAreNotUsedAgain failed before (the call after the first timeout timed out as well) and passes.

--- a/Libraries/LibPlatform/PlatformClient.cpp
+++ b/Libraries/LibPlatform/PlatformClient.cpp
@@ -58,6 +58,12 @@
 
 PlatformClient::PlatformClient(PlatformClientSettings settings) : m_settings(std::move(settings))
 {
+    openSession();
+}
+
+void PlatformClient::openSession()
+{
+    g_clear_object(&m_session);
     const int connections = static_cast<int>(std::max<std::size_t>(m_settings.maximumConcurrency, 1));
     // No proxy of the environment may stand between this process and the platform.
     m_session = soup_session_new_with_options("max-conns",
@@ -168,6 +174,9 @@
     call.timer = 0;
     call.isTimedOut = true;
     if (call.isOnNetwork) {
+        // Idle connections may have gone silent together with this one, and would cost a timeout each. The calls in
+        // progress keep the old session.
+        call.client->openSession();
         // Whether the call was sent is known for certain only when the session has let go of it.
         g_cancellable_cancel(call.cancellable);
         return G_SOURCE_REMOVE;
--- a/Libraries/LibPlatform/PlatformClient.h
+++ b/Libraries/LibPlatform/PlatformClient.h
@@ -46,6 +46,7 @@
     static void onStarting(SoupMessage *message, gpointer data);
     static void onRestarted(SoupMessage *message, gpointer data);
 
+    void openSession();
     void start(Call &call);
     void startWaiting();
     /// Gives \a call its answer and destroys it.
