--- a/Benchmarks/ContactBenchmarks.cpp
+++ b/Benchmarks/ContactBenchmarks.cpp
@@ -35,7 +35,8 @@
     const auto clock = Clock::manual();
     Random random(1);
     const auto table = makeTable(0, members, clock);
-    ContactKeeper keeper({}, table, clock, random);
+    const CrashSuspectSet suspects(clock);
+    ContactKeeper keeper({}, table, suspects, clock, random);
     auto joiner = makeMember(TargetMembers + static_cast<std::size_t>(state.range(1)), TargetMembers);
     joiner.state = MemberState::Joining;
     const auto request = encodeMemberSync({MemberSyncKind::JoinRequest, {joiner}}).front();
@@ -109,7 +110,8 @@
             auto clock = Clock::manual();
             Random random(1);
             MembershipTable table(makeMember(index, TargetMembers, dataCentres), clock);
-            ContactKeeper keeper({}, table, clock, random);
+            const CrashSuspectSet suspects(clock);
+            ContactKeeper keeper({}, table, suspects, clock, random);
             // Past the first answer and one period, so that the rows of this data centre are there.
             for (int second = 0; second < 40; ++second) {
                 platform.run(keeper, keeper.advance());
@@ -124,7 +126,8 @@
         auto self = makeMember(TargetMembers, TargetMembers, dataCentres);
         self.state = MemberState::Joining;
         MembershipTable table(self, clock);
-        ContactKeeper joiner({}, table, clock, random);
+        const CrashSuspectSet suspects(clock);
+        ContactKeeper joiner({}, table, suspects, clock, random);
         // The first round of requests; nothing answers them, so that later rounds would only repeat it.
         for (int step = 0; step < 100 && platform.joinRequests == 0; ++step) {
             platform.run(joiner, joiner.advance());
--- a/Libraries/LibMembership/ContactKeeper.cpp
+++ b/Libraries/LibMembership/ContactKeeper.cpp
@@ -1,6 +1,7 @@
 #include <LibMembership/ContactKeeper.h>
 
 #include <LibCore/Result.h>
+#include <LibMembership/CrashSuspectCodec.h>
 #include <LibMembership/MemberRecordCodec.h>
 #include <LibMembership/RendezvousHash.h>
 
@@ -10,9 +11,11 @@
 
 namespace Fuchsiastep {
 
-ContactKeeper::ContactKeeper(ContactKeeperSettings settings, const MembershipTable &table, const Clock &clock, Random &random)
+ContactKeeper::ContactKeeper(
+    ContactKeeperSettings settings, const MembershipTable &table, const CrashSuspectSet &suspects, const Clock &clock, Random &random)
     : m_settings(std::move(settings))
     , m_table(table)
+    , m_suspects(suspects)
     , m_clock(clock)
     , m_random(random)
     , m_backoff(m_settings.firstBackoff, m_settings.backoffCap)
@@ -99,6 +102,7 @@
         askUnknownDataCentres(contacts);
     }
     if (!m_isJoined) {
+        askForCrashSuspects(contacts);
         askContacts(std::move(contacts));
         // The first members of a data centre find each other only where they write contact rows before they have joined.
         if (rows != nullptr) {
@@ -112,6 +116,9 @@
     for (std::string &part : encodeMemberSync({MemberSyncKind::JoinAnswer, m_table.records()})) {
         m_outputs.emplace_back(SendFrame {peer, MembershipSyncFrame {std::move(part), false}});
     }
+    if (m_suspects.size() > 0) {
+        m_outputs.emplace_back(SendFrame {peer, CrashSuspectsFrame {encodeCrashSuspects(m_suspects.entries()), 0}});
+    }
     m_outputs.emplace_back(MergeRecords {request.records});
 }
 
@@ -152,6 +159,20 @@
     }
 }
 
+void ContactKeeper::askForCrashSuspects(const std::vector<Contact> &contacts)
+{
+    // The neighbours may have restarted together with this proxy.
+    std::vector<SocketAddress> addresses;
+    for (const Contact &contact : contacts) {
+        if (contact.dataCentre != m_table.self().dataCentre) {
+            addresses.push_back(contact.address);
+        }
+    }
+    if (!addresses.empty()) {
+        m_outputs.emplace_back(SendFrameToAddress {addresses[m_random.below(addresses.size())], CrashSuspectsQueryFrame {}});
+    }
+}
+
 void ContactKeeper::askUnknownDataCentres(const std::vector<Contact> &contacts)
 {
     // One contact of each: every answer holds all records of the fleet.
--- a/Libraries/LibMembership/ContactKeeper.h
+++ b/Libraries/LibMembership/ContactKeeper.h
@@ -6,6 +6,7 @@
 #include <LibMembership/ContactKeeperMessages.h>
 #include <LibMembership/ContactKeeperSettings.h>
 #include <LibMembership/ContactRow.h>
+#include <LibMembership/CrashSuspectSet.h>
 #include <LibMembership/MemberSync.h>
 #include <LibMembership/MembershipTable.h>
 
@@ -20,8 +21,9 @@
 class ContactKeeper
 {
 public:
-    /// \a table, \a clock and \a random must outlive the object.
-    ContactKeeper(ContactKeeperSettings settings, const MembershipTable &table, const Clock &clock, Random &random);
+    /// \a table, \a suspects, \a clock and \a random must outlive the object.
+    ContactKeeper(
+        ContactKeeperSettings settings, const MembershipTable &table, const CrashSuspectSet &suspects, const Clock &clock, Random &random);
 
     std::vector<ContactKeeperOutput> handle(const ContactKeeperInput &input);
     std::vector<ContactKeeperOutput> advance();
@@ -41,6 +43,7 @@
     void acceptJoinAnswer(const MemberSync &answer);
     void scan();
     void askContacts(std::vector<Contact> contacts);
+    void askForCrashSuspects(const std::vector<Contact> &contacts);
     void askUnknownDataCentres(const std::vector<Contact> &contacts);
     void refresh();
     void resync();
@@ -51,6 +54,7 @@
 
     ContactKeeperSettings m_settings;
     const MembershipTable &m_table;
+    const CrashSuspectSet &m_suspects;
     const Clock &m_clock;
     Random &m_random;
     Backoff m_backoff;
--- a/Libraries/LibMembership/FailureDetector.cpp
+++ b/Libraries/LibMembership/FailureDetector.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/Result.h>
 #include <LibMembership/MemberRecordCodec.h>
 #include <LibMembership/ProbeCodec.h>
+#include <LibMembership/RendezvousHash.h>
 #include <LibWire/DatagramSocket.h>
 
 #include <algorithm>
@@ -16,7 +17,7 @@
 static constexpr std::size_t ProbeOverheadBytes = 200;
 /// Probes that this proxy passes on for others at once.
 static constexpr std::size_t MaximumRelays = 1024;
-/// Peers that hear of a leaving or draining member at once, without waiting for the next round of gossip.
+/// Peers that learn at once of a leaving or draining member or of a crash suspect, before the next round of gossip.
 static constexpr std::size_t UrgentGossipFanOut = 8;
 /// Members that probe a member which another one accuses; more would make each failure cost a probe from everybody.
 static constexpr double ExpectedConfirmers = 6;
@@ -28,6 +29,7 @@
     , m_random(random)
     , m_schedule(table, random)
     , m_isolation(m_settings)
+    , m_crashSuspects(clock)
     // Members that start together would otherwise probe in step.
     , m_nextProbe(clock.now() + random.jitter(settings.probePeriod))
     , m_nextGossip(clock.now())
@@ -129,6 +131,18 @@
 {
     if (m_crashSuspects.merge(record.entry)) {
         m_gossip.push(*m_crashSuspects.find(record.entry.fingerprint), transmissions());
+        spreadAtOnce();
+    }
+}
+
+void FailureDetector::accept(const MergeCrashSuspects &merge)
+{
+    bool isNews = false;
+    for (const CrashSuspectEntry &entry : merge.entries) {
+        isNews = learnCrashSuspect(entry) || isNews;
+    }
+    if (isNews && merge.mustSpread) {
+        spreadAtOnce();
     }
 }
 
@@ -248,14 +262,28 @@
     }
 }
 
-void FailureDetector::learnCrashSuspect(const CrashSuspectEntry &entry)
+bool FailureDetector::learnCrashSuspect(const CrashSuspectEntry &entry)
 {
     if (!m_crashSuspects.merge(entry)) {
-        return;
+        return false;
     }
-    const CrashSuspectEntry &joined = *m_crashSuspects.find(entry.fingerprint);
+    const CrashSuspectEntry joined = *m_crashSuspects.find(entry.fingerprint);
     m_gossip.push(joined, transmissions());
     m_outputs.emplace_back(CrashSuspectLearned {joined});
+    return true;
+}
+
+/// Tells the bridges, which pass news on to other data centres, and some other members.
+void FailureDetector::spreadAtOnce()
+{
+    for (const MemberRecord *bridge : rendezvousMembers(m_table, m_table.self().dataCentre, BridgeRoleName, RoleHolders)) {
+        if (bridge->proxyId != m_table.self().proxyId) {
+            sendPing(*bridge);
+        }
+    }
+    for (const MemberRecord *peer : m_schedule.sample(UrgentGossipFanOut)) {
+        sendPing(*peer);
+    }
 }
 
 void FailureDetector::changeOwnRecord(MemberRecord record)
--- a/Libraries/LibMembership/FailureDetector.h
+++ b/Libraries/LibMembership/FailureDetector.h
@@ -60,6 +60,7 @@
 
     void accept(const ReceivedProbe &probe);
     void accept(const MergeRecords &merge);
+    void accept(const MergeCrashSuspects &merge);
     void accept(const HeldVersionChanged &change);
     void accept(const OwnRecordChanged &change);
     void accept(const LeaveRequested &request);
@@ -75,7 +76,8 @@
     void refuteIfAccused(const MemberRecord &record);
     bool mergeAndGossip(const MemberUpdate &update);
     void applyAccusation(const MemberUpdate &update);
-    void learnCrashSuspect(const CrashSuspectEntry &entry);
+    bool learnCrashSuspect(const CrashSuspectEntry &entry);
+    void spreadAtOnce();
     void changeOwnRecord(MemberRecord record);
 
     void probeNext();
--- a/Libraries/LibMembership/FailureDetectorMessages.h
+++ b/Libraries/LibMembership/FailureDetectorMessages.h
@@ -4,6 +4,7 @@
 #include <LibCore/SocketAddress.h>
 #include <LibMembership/CrashSuspectEntry.h>
 #include <LibMembership/MemberChange.h>
+#include <LibMembership/MergeCrashSuspects.h>
 #include <LibMembership/MergeRecords.h>
 #include <LibMembership/PeerVersion.h>
 #include <LibMembership/ProbeDatagram.h>
@@ -47,8 +48,14 @@
 struct OutsideReached
 { };
 
-using FailureDetectorInput =
-    std::variant<ReceivedProbe, MergeRecords, HeldVersionChanged, OwnRecordChanged, LeaveRequested, CrashSuspectRecorded, OutsideReached>;
+using FailureDetectorInput = std::variant<ReceivedProbe,
+    MergeRecords,
+    MergeCrashSuspects,
+    HeldVersionChanged,
+    OwnRecordChanged,
+    LeaveRequested,
+    CrashSuspectRecorded,
+    OutsideReached>;
 
 struct SendProbe
 {
--- a/Libraries/LibMembership/GossipQueue.cpp
+++ b/Libraries/LibMembership/GossipQueue.cpp
@@ -1,6 +1,7 @@
 #include <LibMembership/GossipQueue.h>
 
 #include <LibCore/Result.h>
+#include <LibMembership/CrashSuspectCodec.h>
 #include <LibMembership/MembershipTable.h>
 #include <LibMembership/ProbeCodec.h>
 
--- a/Libraries/LibMembership/LibMembership.h
+++ b/Libraries/LibMembership/LibMembership.h
@@ -3,7 +3,9 @@
 // The public header of LibMembership: live members, failure detection and distribution of configurations.
 
 #include <LibMembership/ContactKeeper.h>
+#include <LibMembership/CrashSuspectCodec.h>
 #include <LibMembership/CrashSuspectSet.h>
+#include <LibMembership/CrashSuspectSync.h>
 #include <LibMembership/Distributor.h>
 #include <LibMembership/FailureDetector.h>
 #include <LibMembership/MemberRecord.h>
--- a/Libraries/LibMembership/ProbeCodec.cpp
+++ b/Libraries/LibMembership/ProbeCodec.cpp
@@ -1,5 +1,6 @@
 #include <LibMembership/ProbeCodec.h>
 
+#include <LibMembership/CrashSuspectFields.h>
 #include <LibMembership/MemberRecordFields.h>
 #include <LibWire/DatagramSocket.h>
 
@@ -17,7 +18,6 @@
 };
 
 constexpr std::size_t CargoFields = 5;
-constexpr std::size_t CrashSuspectFields = 4;
 
 void writeUpdate(MsgpackWriter &writer, const MemberUpdate &update)
 {
@@ -26,15 +26,6 @@
     writer.put(std::string_view(update.accuser));
 }
 
-void writeCrashSuspect(MsgpackWriter &writer, const CrashSuspectEntry &entry)
-{
-    writer.beginArray(CrashSuspectFields);
-    writer.put(entry.fingerprint);
-    writer.put(std::uint64_t {entry.count});
-    writer.put(std::int64_t {entry.unixMilliseconds});
-    writer.put(entry.isBlamed);
-}
-
 void begin(MsgpackWriter &writer, ProbeKind kind, std::size_t fields, const ProbeCargo &cargo, std::uint64_t sequence)
 {
     writer.beginArray(fields);
@@ -64,18 +55,6 @@
     return update;
 }
 
-CrashSuspectEntry takeCrashSuspect(MsgpackReader &reader)
-{
-    CrashSuspectEntry entry;
-    reader.takeArray([&](MsgpackReader &fields) {
-        entry.fingerprint = fields.takeUnsigned();
-        entry.count = static_cast<std::uint32_t>(fields.takeUnsigned(std::numeric_limits<std::uint32_t>::max()));
-        entry.unixMilliseconds = fields.takeSigned(0, std::numeric_limits<std::int64_t>::max());
-        entry.isBlamed = fields.takeBool();
-    });
-    return entry;
-}
-
 ProbeCargo takeCargo(MsgpackReader &reader)
 {
     ProbeCargo cargo;
@@ -167,11 +146,4 @@
     return writer.take().size();
 }
 
-std::size_t encodedSize(const CrashSuspectEntry &entry)
-{
-    MsgpackWriter writer;
-    writeCrashSuspect(writer, entry);
-    return writer.take().size();
-}
-
 } // namespace Fuchsiastep
--- a/Libraries/LibMembership/ProbeCodec.h
+++ b/Libraries/LibMembership/ProbeCodec.h
@@ -14,6 +14,5 @@
 
 /// Bytes that an item adds to a datagram.
 std::size_t encodedSize(const MemberUpdate &update);
-std::size_t encodedSize(const CrashSuspectEntry &entry);
 
 } // namespace Fuchsiastep
--- a/Libraries/LibProxy/MembershipTask.cpp
+++ b/Libraries/LibProxy/MembershipTask.cpp
@@ -35,8 +35,9 @@
     , m_onEvent(std::move(onEvent))
     , m_table(self, clock)
     , m_detector(detectorSettings(settings.membership), m_table, clock, random)
-    , m_contacts(contactSettings(settings), m_table, clock, random)
+    , m_contacts(contactSettings(settings), m_table, m_detector.crashSuspects(), clock, random)
     , m_remotes({}, m_table, clock, random)
+    , m_suspectSync({}, m_table, m_detector.crashSuspects(), clock, random)
     , m_timer(clock, [this] { runDue(); })
     , m_mailbox([this](MembershipTaskMessage message) {
         std::visit([this](const auto &content) { handle(content); }, message);
@@ -71,6 +72,7 @@
 {
     run(m_contacts.handle(frame));
     run(m_remotes.handle(frame));
+    run(m_suspectSync.handle(frame));
     const MemberRecord *peer = m_table.find(frame.peer);
     if (peer != nullptr && peer->dataCentre != m_settings.dataCentre) {
         run(m_detector.handle(OutsideReached {}));
@@ -199,6 +201,20 @@
     }
 }
 
+void MembershipTask::run(std::vector<CrashSuspectSyncOutput> outputs)
+{
+    for (CrashSuspectSyncOutput &output : outputs) {
+        std::visit(Overloaded {
+                       [this](const SendFrame &send) { sendFrame(send); },
+                       [this](const MergeCrashSuspects &merge) { run(m_detector.handle(merge)); },
+                       [](const CrashSuspectsRejected &rejected) {
+                           logEvent(LogEvent::FrameRejected, {{"peer", rejected.peer}, {"error", describe(rejected.error)}});
+                       },
+                   },
+            output);
+    }
+}
+
 void MembershipTask::sendProbe(const SendProbe &probe)
 {
     const std::string content = encodeProbe(probe.datagram);
@@ -271,6 +287,7 @@
     run(m_detector.advance());
     run(m_contacts.advance());
     run(m_remotes.advance());
+    run(m_suspectSync.advance());
     finishTurn();
 }
 
@@ -289,7 +306,8 @@
         m_metrics.setGauge("fuchsiastep_members", static_cast<double>(m_table.livePeers().size() + 1));
         m_onEvent(std::move(changed));
     }
-    m_timer.setDeadline(earliestDeadline({m_detector.nextDeadline(), m_contacts.nextDeadline(), m_remotes.nextDeadline()}));
+    m_timer.setDeadline(
+        earliestDeadline({m_detector.nextDeadline(), m_contacts.nextDeadline(), m_remotes.nextDeadline(), m_suspectSync.nextDeadline()}));
 }
 
 } // namespace Fuchsiastep
--- a/Libraries/LibProxy/MembershipTask.h
+++ b/Libraries/LibProxy/MembershipTask.h
@@ -73,6 +73,7 @@
     void run(std::vector<FailureDetectorOutput> outputs);
     void run(std::vector<ContactKeeperOutput> outputs);
     void run(std::vector<RemoteSyncOutput> outputs);
+    void run(std::vector<CrashSuspectSyncOutput> outputs);
     void sendProbe(const SendProbe &probe);
     void sendFrame(const SendFrame &send);
     void noteChange(const MemberChange &change);
@@ -90,6 +91,7 @@
     FailureDetector m_detector;
     ContactKeeper m_contacts;
     RemoteSync m_remotes;
+    CrashSuspectSync m_suspectSync;
     /// Upstreams that changed in this turn; nothing for one that went.
     std::map<std::string, std::optional<Endpoint>> m_changes;
     std::map<std::string, ConfigurationVersion> m_peerVersions;
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -138,6 +138,15 @@
                    [&](MembershipSyncFrame &) {
                        m_membership->post(PeerFrame {received->proxyId, std::move(received->frame)});
                    },
+                   [&](CrashSuspectsFrame &) {
+                       m_membership->post(PeerFrame {received->proxyId, std::move(received->frame)});
+                   },
+                   [&](CrashSuspectsAckFrame &) {
+                       m_membership->post(PeerFrame {received->proxyId, std::move(received->frame)});
+                   },
+                   [&](CrashSuspectsQueryFrame &) {
+                       m_membership->post(PeerFrame {received->proxyId, std::move(received->frame)});
+                   },
                    [&](RequestFrame &) { m_requests->post(std::move(*received)); },
                    [&](AnswerFrame &) { m_requests->post(std::move(*received)); },
                    [&](AnswerPartFrame &) { m_requests->post(std::move(*received)); },
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -496,13 +496,14 @@
     constexpr std::size_t MaximumSuspectsPerTurn = 32;
     std::vector<CrashSuspectEntry> suspects = m_routing.suspects.takeChanges(MaximumSuspectsPerTurn);
     for (const CrashSuspectEntry &entry : suspects) {
+        const Duration heldOff = m_routing.suspects.holdOffLeft(entry.fingerprint);
         logEvent(LogEvent::SuspectChanged,
             {{"fingerprint", entry.fingerprint},
-                {"crashes", entry.count % CrashSuspects::AloneCrashWeight},
-                {"crashes_alone", entry.count / CrashSuspects::AloneCrashWeight},
-                {"blamed", entry.isBlamed}});
-        if (entry.isBlamed) {
-            logEvent(LogEvent::FingerprintBlamed, {{"fingerprint", entry.fingerprint}, {"crashes", entry.count}});
+                {"crashes", entry.openCrashes()},
+                {"crashes_alone", entry.openCrashesAlone()},
+                {"held_off_us", heldOff.count()}});
+        if (heldOff > Duration(0)) {
+            logEvent(LogEvent::FingerprintBlamed, {{"fingerprint", entry.fingerprint}, {"crashes", entry.openCrashes()}});
         }
     }
     if (!suspects.empty()) {
--- a/Libraries/LibRequest/GateOutput.h
+++ b/Libraries/LibRequest/GateOutput.h
@@ -45,6 +45,8 @@
 /// The upstream crashed while these requests were in flight. CrashSuspects of the proxy has them already.
 struct CrashReport
 {
+    /// See CrashRecord.
+    std::uint64_t crashId = 0;
     std::string upstreamId;
     std::string service;
     std::vector<std::uint64_t> fingerprints;
--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -1,5 +1,6 @@
 #include <LibRequest/RequestCoordinator.h>
 
+#include <LibCore/Digest.h>
 #include <LibRequest/AnswerStatus.h>
 #include <LibRequest/PriorityHeader.h>
 
@@ -247,9 +248,8 @@
         return;
     }
     const RouteRules &rules = rulesOf(pending.request);
-    const double answerBytes = m_answerSizes.meanOf(pending.request.route->selector->name);
     const std::vector<std::string> excluded = excludedUpstreamIds(pending);
-    const Result<Placement> placement = m_selector.tryPlace(pending.request.route, {rules.targetLatency, answerBytes, excluded});
+    const Result<Placement> placement = tryPlace(pending, excluded);
     if (isError(placement)) {
         if (pending.offers > 0) {
             finishWithout(token, RequestOutcome::NotRun, pending.lastCode, pending.lastDetail);
@@ -273,6 +273,12 @@
     send(token, pending, valueOf(placement), isIsolated);
 }
 
+Result<Placement> RequestCoordinator::tryPlace(const Pending &pending, const std::vector<std::string> &excluded)
+{
+    const std::shared_ptr<const Route> &route = pending.request.route;
+    return m_selector.tryPlace(route, {route->selector->rules.targetLatency, m_answerSizes.meanOf(route->selector->name), excluded});
+}
+
 Duration RequestCoordinator::targetLeft(const Pending &pending) const
 {
     return pending.targetAt ? std::max(*pending.targetAt - m_clock.now(), Duration(0)) : Duration(0);
@@ -376,7 +382,7 @@
     AnswerFrame answer = pending.current->assembly.take();
     recordEvidence(pending, answer);
     if (answer.code == ErrorCode::UpstreamCrashed && answer.outcome == RequestOutcome::Unknown) {
-        recordCrash(pending);
+        m_routing.suspects.recordCrash(answer.crashId, {fingerprintOf(pending)}, pending.current->isIsolated);
     }
     const bool isIsolated = pending.current->isIsolated;
     endTry(token, pending);
@@ -562,11 +568,6 @@
     }
 }
 
-void RequestCoordinator::recordCrash(Pending &pending)
-{
-    m_routing.suspects.recordCrash(pending.current->endpoint->upstreamId, {fingerprintOf(pending)}, pending.current->isIsolated);
-}
-
 std::uint64_t RequestCoordinator::fingerprintOf(Pending &pending)
 {
     if (!pending.fingerprint) {
--- a/Libraries/LibRequest/RequestCoordinator.h
+++ b/Libraries/LibRequest/RequestCoordinator.h
@@ -101,6 +101,7 @@
     void dispatch(CallerToken token);
     /// Upstreams that this request need not be offered to.
     std::vector<std::string> excludedUpstreamIds(const Pending &pending) const;
+    Result<Placement> tryPlace(const Pending &pending, const std::vector<std::string> &excluded);
     Duration targetLeft(const Pending &pending) const;
     /// False where the request was held off or waits for another one like it.
     bool passSuspicion(CallerToken token, Pending &pending, bool &isIsolated);
@@ -118,7 +119,6 @@
     void finish(CallerToken token, CallerAnswer answer);
     void refuse(const CallerRequest &request, const Error &error);
     void recordEvidence(const Pending &pending, const AnswerFrame &answer);
-    void recordCrash(Pending &pending);
     std::uint64_t fingerprintOf(Pending &pending);
     void wakeWaiting();
     /// Tries that were sent to the proxy on this connection, or on any where nothing is given.
--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -1,5 +1,6 @@
 #include <LibRequest/UpstreamGate.h>
 
+#include <LibCore/Digest.h>
 #include <LibRequest/AnswerStatus.h>
 #include <LibRequest/ClaimRecord.h>
 #include <LibRequest/PriorityHeader.h>
@@ -10,6 +11,13 @@
 
 namespace Fuchsiastep {
 
+static constexpr const char *HeldOffDetail = "requests like this one crashed upstreams";
+
+static std::uint64_t fingerprintOf(const RequestFrame &frame)
+{
+    return requestFingerprint(frame.service, frame.method, frame.path, frame.body);
+}
+
 UpstreamGate::UpstreamGate(const Settings &settings, CrashSuspects &suspects, const Clock &clock)
     : m_settings(settings), m_suspects(suspects), m_clock(clock), m_serviceTimes(settings.serviceTimes), m_transfers(settings.partBytes)
 { }
@@ -228,40 +236,54 @@
 
 void UpstreamGate::apply(const UpstreamCrashed & /*crashed*/)
 {
-    CrashReport report;
-    report.wasAlone = m_isolatedRun.has_value();
     std::vector<LocalId> runs;
     for (const auto &[localId, entry] : m_entries) {
         if (entry.stage == Stage::Running) {
             runs.push_back(localId);
-            report.fingerprints.push_back(entry.fingerprint);
-        }
-    }
-    for (const Failure &failure : m_recentFailures) {
-        if (failure.at + m_settings.crashWindow >= m_clock.now()) {
-            report.fingerprints.push_back(failure.fingerprint);
-            report.wasAlone = report.wasAlone || failure.wasIsolated;
         }
     }
-    m_recentFailures.clear();
-    report.wasAlone = report.wasAlone && report.fingerprints.size() == 1;
-    if (m_upstream) {
-        report.upstreamId = m_upstream->upstreamId;
-        report.service = m_upstream->service;
-    }
     std::sort(runs.begin(), runs.end());
+    const CrashReport report = crashReport(runs);
     for (const LocalId localId : runs) {
         Entry &entry = m_entries.at(localId);
         if (entry.hasClaim) {
             m_outputs.emplace_back(ClaimFinished {localId, RequestOutcome::Unknown, ErrorCode::UpstreamCrashed, 0, {}, {}});
         }
-        answerWithout(entry, RequestOutcome::Unknown, ErrorCode::UpstreamCrashed, report.upstreamId);
+        AnswerFrame frame;
+        frame.outcome = RequestOutcome::Unknown;
+        frame.code = ErrorCode::UpstreamCrashed;
+        frame.detail = report.upstreamId;
+        frame.crashId = report.crashId;
+        answer(entry, std::move(frame));
         finishRun(localId);
     }
+    m_recentFailures.clear();
     m_upstream.reset();
+    m_suspects.recordCrash(report.crashId, report.fingerprints, report.wasAlone);
     releaseWaiting(ErrorCode::NoUpstream, "the upstream crashed");
-    m_suspects.recordCrash(report.upstreamId, report.fingerprints, report.wasAlone);
-    m_outputs.emplace_back(std::move(report));
+    m_outputs.emplace_back(report);
+}
+
+CrashReport UpstreamGate::crashReport(const std::vector<LocalId> &runs) const
+{
+    CrashReport report;
+    if (m_upstream) {
+        report.upstreamId = m_upstream->upstreamId;
+        report.service = m_upstream->service;
+    }
+    report.crashId = stableHash(report.upstreamId, static_cast<std::uint64_t>(m_clock.unixMilliseconds()));
+    for (const LocalId localId : runs) {
+        report.fingerprints.push_back(m_entries.at(localId).fingerprint);
+    }
+    report.wasAlone = m_isolatedRun.has_value();
+    for (const Failure &failure : m_recentFailures) {
+        if (failure.at + m_settings.crashWindow >= m_clock.now()) {
+            report.fingerprints.push_back(failure.fingerprint);
+            report.wasAlone = report.wasAlone || failure.wasIsolated;
+        }
+    }
+    report.wasAlone = report.wasAlone && report.fingerprints.size() == 1;
+    return report;
 }
 
 void UpstreamGate::apply(const DrainRequested & /*drain*/)
@@ -305,9 +327,9 @@
         return Error {ErrorCode::DeadlineExceeded, "the request was held up on its way"};
     }
     if (!m_suspects.isEmpty()) {
-        const std::uint64_t fingerprint = requestFingerprint(entry.frame.service, entry.frame.method, entry.frame.path, entry.frame.body);
+        const std::uint64_t fingerprint = fingerprintOf(entry.frame);
         if (m_suspects.isHeldOff(fingerprint)) {
-            return Error {ErrorCode::RequestHeldOff, "requests like this one crashed upstreams"};
+            return Error {ErrorCode::RequestHeldOff, HeldOffDetail};
         }
     }
     if (entry.isIsolated && m_isolatedQueue.size() >= m_settings.maximumIsolated) {
@@ -385,7 +407,7 @@
     const TimePoint latest = entry.dueAt - entry.service;
     setWake(localId, entry, std::min(m_clock.now() + m_settings.maximumQueueTime, latest));
     if (!m_suspects.isEmpty()) {
-        entry.fingerprint = requestFingerprint(entry.frame.service, entry.frame.method, entry.frame.path, entry.frame.body);
+        entry.fingerprint = fingerprintOf(entry.frame);
         entry.isIsolated = entry.isIsolated || m_suspects.mustRunAlone(entry.fingerprint);
     }
     if (entry.isIsolated) {
@@ -427,12 +449,10 @@
 void UpstreamGate::start(LocalId localId)
 {
     Entry &entry = m_entries.at(localId);
-    const std::uint64_t fingerprint = entry.fingerprint != 0
-        ? entry.fingerprint
-        : requestFingerprint(entry.frame.service, entry.frame.method, entry.frame.path, entry.frame.body);
+    const std::uint64_t fingerprint = entry.fingerprint != 0 ? entry.fingerprint : fingerprintOf(entry.frame);
     entry.fingerprint = fingerprint;
     if (m_suspects.isHeldOff(fingerprint)) {
-        dropNotRun(localId, ErrorCode::RequestHeldOff, "requests like this one crashed upstreams");
+        dropNotRun(localId, ErrorCode::RequestHeldOff, HeldOffDetail);
         return;
     }
     if (m_clock.now() >= entry.deadline) {
--- a/Libraries/LibRequest/UpstreamGate.h
+++ b/Libraries/LibRequest/UpstreamGate.h
@@ -106,6 +106,8 @@
     void apply(const FreezeNoticed &freeze);
     void apply(const FreezeRecovered &recovered);
 
+    /// What a crash that ends \a runs tells about the requests.
+    CrashReport crashReport(const std::vector<LocalId> &runs) const;
     std::optional<Error> refusal(const Entry &entry);
     bool makePlaceFor(RequestPriority priority);
     std::uint32_t capacity() const;
--- a/Libraries/LibRouting/CrashSuspects.cpp
+++ b/Libraries/LibRouting/CrashSuspects.cpp
@@ -5,86 +5,75 @@
 
 namespace Fuchsiastep {
 
-// Crashes kept to tell a burst from a single killer; more would say the same.
+/// Crashes kept to tell a burst from a single cause; more would say the same.
 static constexpr std::size_t MaximumRecentCrashes = 64;
 
-static std::int64_t toMilliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 CrashSuspects::CrashSuspects(const Settings &settings, const Clock &clock) : m_settings(settings), m_clock(clock)
 { }
 
-void CrashSuspects::recordCrash(const std::string &upstreamId, const std::vector<std::uint64_t> &fingerprints, bool wasAlone)
+void CrashSuspects::recordCrash(std::uint64_t crashId, const std::vector<std::uint64_t> &fingerprints, bool wasAlone)
 {
-    for (const std::uint64_t fingerprint : addCrash(upstreamId, fingerprints)) {
-        const Record *known = find(fingerprint);
-        Record record = known != nullptr ? *known : Record {};
-        record.crashCount += wasAlone ? AloneCrashWeight : 1;
-        const std::uint32_t needed = hasCrashWithout(fingerprint) ? 2 : 1;
-        record.isBlamed = record.isBlamed || record.crashCount / AloneCrashWeight >= needed;
-        record.unixMilliseconds = m_clock.unixMilliseconds();
-        store(fingerprint, record);
+    noteCrash(crashId, Duration(0));
+    for (const std::uint64_t fingerprint : fingerprints) {
+        mergeEntry({fingerprint, {{crashId, Duration(0), wasAlone, false}}});
     }
 }
 
 void CrashSuspects::recordCompletion(std::uint64_t fingerprint, bool wasIsolated)
 {
-    if (wasIsolated && isSuspect(fingerprint)) {
-        store(fingerprint, {0, m_clock.unixMilliseconds(), false});
+    std::optional<CrashSuspectEntry> entry = find(fingerprint);
+    if (!wasIsolated || !entry || entry->openCrashes() == 0) {
+        return;
     }
+    for (CrashRecord &crash : entry->crashes) {
+        crash.isAcquitted = true;
+    }
+    mergeEntry(*entry);
 }
 
 bool CrashSuspects::isSuspect(std::uint64_t fingerprint) const
 {
-    const Record *record = find(fingerprint);
-    return record != nullptr && record->crashCount > 0;
+    const std::optional<CrashSuspectEntry> entry = find(fingerprint);
+    return entry && entry->openCrashes() > 0;
 }
 
 bool CrashSuspects::mustRunAlone(std::uint64_t fingerprint) const
 {
-    const Record *record = find(fingerprint);
-    return record != nullptr && record->crashCount >= m_settings.isolationThreshold;
+    const std::optional<CrashSuspectEntry> entry = find(fingerprint);
+    return entry && entry->openCrashes() >= m_settings.isolationThreshold;
 }
 
 bool CrashSuspects::isHeldOff(std::uint64_t fingerprint) const
 {
-    const Record *record = find(fingerprint);
-    return record != nullptr && record->isBlamed && m_clock.unixMilliseconds() < record->unixMilliseconds + holdOffMilliseconds(*record);
+    return holdOffLeft(fingerprint) > Duration(0);
+}
+
+Duration CrashSuspects::holdOffLeft(std::uint64_t fingerprint) const
+{
+    const std::optional<CrashSuspectEntry> entry = find(fingerprint);
+    return entry ? std::max(Duration(0), holdOffOf(*entry) - entry->sinceLastCrash()) : Duration(0);
 }
 
 bool CrashSuspects::isEmpty() const
 {
-    return m_records.empty();
+    return m_entries.empty();
 }
 
 std::size_t CrashSuspects::size() const
 {
-    return m_records.size();
+    return m_entries.size();
 }
 
 void CrashSuspects::merge(const std::vector<CrashSuspectEntry> &entries)
 {
-    const std::int64_t now = m_clock.unixMilliseconds();
     for (const CrashSuspectEntry &entry : entries) {
-        // A clock that runs ahead elsewhere must not lengthen the hold-off here.
-        const Record incoming {entry.count, std::min(entry.unixMilliseconds, now), entry.isBlamed};
-        const Record *known = find(entry.fingerprint);
-        if (isForgotten(incoming)) {
+        if (entry.crashes.empty() || isForgotten(entry)) {
             continue;
         }
-        if (known == nullptr) {
-            store(entry.fingerprint, incoming);
-            continue;
-        }
-        const auto toEntry = [&](const Record &record) {
-            return CrashSuspectEntry {entry.fingerprint, record.crashCount, record.unixMilliseconds, record.isBlamed};
-        };
-        const CrashSuspectEntry merged = mergedCrashSuspect(toEntry(*known), toEntry(incoming));
-        if (merged != toEntry(*known)) {
-            store(entry.fingerprint, {merged.count, merged.unixMilliseconds, merged.isBlamed});
+        for (const CrashRecord &crash : entry.crashes) {
+            noteCrash(crash.crashId, crash.age);
         }
+        mergeEntry(entry);
     }
 }
 
@@ -94,8 +83,8 @@
     while (!m_changes.empty() && changes.size() < limit) {
         const std::uint64_t fingerprint = m_changes.front();
         m_changes.pop_front();
-        if (const Record *record = find(fingerprint)) {
-            changes.push_back({fingerprint, record->crashCount, record->unixMilliseconds, record->isBlamed});
+        if (std::optional<CrashSuspectEntry> entry = find(fingerprint)) {
+            changes.push_back(std::move(*entry));
         }
     }
     return changes;
@@ -104,83 +93,92 @@
 std::vector<CrashSuspectEntry> CrashSuspects::entries() const
 {
     std::vector<CrashSuspectEntry> all;
-    for (const auto &[fingerprint, record] : m_records) {
-        if (!isForgotten(record)) {
-            all.push_back({fingerprint, record.crashCount, record.unixMilliseconds, record.isBlamed});
+    for (const auto &[fingerprint, known] : m_entries) {
+        if (std::optional<CrashSuspectEntry> entry = find(fingerprint)) {
+            all.push_back(std::move(*entry));
         }
     }
     return all;
 }
 
-std::int64_t CrashSuspects::holdOffMilliseconds(const Record &record) const
+CrashSuspectEntry CrashSuspects::current(const Known &known) const
 {
-    if (!record.isBlamed) {
-        return 0;
-    }
-    const std::int64_t limit = toMilliseconds(m_settings.maximumHoldOff);
-    std::int64_t duration = toMilliseconds(m_settings.holdOff);
-    for (std::uint32_t crash = record.crashCount / AloneCrashWeight; crash > 1 && duration < limit; --crash) {
-        duration *= 2;
-    }
-    return std::min(duration, limit);
+    return known.entry.aged(m_clock.now() - known.at);
 }
 
-bool CrashSuspects::isForgotten(const Record &record) const
+bool CrashSuspects::isBlamed(const CrashSuspectEntry &entry) const
 {
-    const std::int64_t memory = toMilliseconds(record.crashCount == 0 ? m_settings.acquittalMemory : m_settings.memory);
-    return m_clock.unixMilliseconds() > record.unixMilliseconds + holdOffMilliseconds(record) + memory;
+    const std::size_t alone = entry.openCrashesAlone();
+    return alone > 1 || (alone == 1 && !hasCrashWithout(entry));
 }
 
-const CrashSuspects::Record *CrashSuspects::find(std::uint64_t fingerprint) const
+Duration CrashSuspects::holdOffOf(const CrashSuspectEntry &entry) const
 {
-    if (m_records.empty()) {
-        return nullptr;
+    if (!isBlamed(entry)) {
+        return Duration(0);
     }
-    const auto record = m_records.find(fingerprint);
-    return record == m_records.end() || isForgotten(record->second) ? nullptr : &record->second;
+    Duration time = m_settings.holdOff;
+    for (std::size_t crash = entry.openCrashesAlone(); crash > 1 && time < m_settings.maximumHoldOff; --crash) {
+        time *= 2;
+    }
+    return std::min(time, m_settings.maximumHoldOff);
 }
 
-std::vector<std::uint64_t> CrashSuspects::addCrash(const std::string &upstreamId, const std::vector<std::uint64_t> &fingerprints)
+bool CrashSuspects::isForgotten(const CrashSuspectEntry &entry) const
 {
-    const TimePoint now = m_clock.now();
-    while (!m_recentCrashes.empty() && m_recentCrashes.front().at + m_settings.burstWindow < now) {
-        m_recentCrashes.pop_front();
-    }
-    auto crash = std::find_if(m_recentCrashes.begin(), m_recentCrashes.end(), [&](const Crash &known) {
-        return known.upstreamId == upstreamId && known.at + m_settings.sameCrash >= now;
-    });
-    if (crash == m_recentCrashes.end()) {
-        if (m_recentCrashes.size() >= MaximumRecentCrashes) {
-            m_recentCrashes.pop_front();
-        }
-        crash = m_recentCrashes.insert(m_recentCrashes.end(), Crash {upstreamId, now, {}});
+    return entry.sinceLastCrash() > holdOffOf(entry) + m_settings.memory;
+}
+
+std::optional<CrashSuspectEntry> CrashSuspects::find(std::uint64_t fingerprint) const
+{
+    if (m_entries.empty()) {
+        return std::nullopt;
     }
-    std::vector<std::uint64_t> added;
-    for (const std::uint64_t fingerprint : fingerprints) {
-        if (std::find(crash->fingerprints.begin(), crash->fingerprints.end(), fingerprint) == crash->fingerprints.end()) {
-            crash->fingerprints.push_back(fingerprint);
-            added.push_back(fingerprint);
-        }
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end()) {
+        return std::nullopt;
     }
-    return added;
+    CrashSuspectEntry entry = current(found->second);
+    return isForgotten(entry) ? std::nullopt : std::optional(std::move(entry));
 }
 
-bool CrashSuspects::hasCrashWithout(std::uint64_t fingerprint) const
+bool CrashSuspects::hasCrashWithout(const CrashSuspectEntry &entry) const
 {
-    return std::any_of(m_recentCrashes.begin(), m_recentCrashes.end(), [&](const Crash &crash) {
-        return crash.at + m_settings.burstWindow >= m_clock.now()
-            && std::find(crash.fingerprints.begin(), crash.fingerprints.end(), fingerprint) == crash.fingerprints.end();
+    return std::any_of(m_recentCrashes.begin(), m_recentCrashes.end(), [&](const Crash &recent) {
+        const bool isRecent = recent.at + m_settings.burstWindow >= m_clock.now();
+        return isRecent && std::none_of(entry.crashes.begin(), entry.crashes.end(), [&](const CrashRecord &crash) {
+            return crash.crashId == recent.crashId;
+        });
     });
 }
 
-void CrashSuspects::store(std::uint64_t fingerprint, const Record &record)
+void CrashSuspects::noteCrash(std::uint64_t crashId, Duration age)
+{
+    const TimePoint now = m_clock.now();
+    std::erase_if(m_recentCrashes, [&](const Crash &crash) { return crash.at + m_settings.burstWindow < now; });
+    const bool isKnown =
+        std::any_of(m_recentCrashes.begin(), m_recentCrashes.end(), [&](const Crash &crash) { return crash.crashId == crashId; });
+    if (isKnown || age > m_settings.burstWindow) {
+        return;
+    }
+    if (m_recentCrashes.size() >= MaximumRecentCrashes) {
+        m_recentCrashes.pop_front();
+    }
+    m_recentCrashes.push_back({crashId, now - age});
+}
+
+void CrashSuspects::mergeEntry(const CrashSuspectEntry &entry)
 {
-    if (!m_records.contains(fingerprint)) {
+    const auto found = m_entries.find(entry.fingerprint);
+    const CrashSuspectEntry known = found == m_entries.end() ? CrashSuspectEntry {entry.fingerprint, {}} : current(found->second);
+    const CrashSuspectEntry merged = mergedCrashSuspect(known, entry);
+    const bool isChanged = !merged.hasSameCrashes(known);
+    if (found == m_entries.end()) {
         makeRoom();
     }
-    m_records[fingerprint] = record;
-    if (std::find(m_changes.begin(), m_changes.end(), fingerprint) == m_changes.end()) {
-        m_changes.push_back(fingerprint);
+    m_entries[entry.fingerprint] = {merged, m_clock.now()};
+    if (isChanged && std::find(m_changes.begin(), m_changes.end(), entry.fingerprint) == m_changes.end()) {
+        m_changes.push_back(entry.fingerprint);
         if (m_changes.size() > m_settings.maximumEntries) {
             m_changes.pop_front();
         }
@@ -189,19 +187,21 @@
 
 void CrashSuspects::makeRoom()
 {
-    if (m_records.size() < m_settings.maximumEntries) {
+    if (m_entries.size() < m_settings.maximumEntries) {
         return;
     }
-    std::erase_if(m_records, [this](const auto &item) { return isForgotten(item.second); });
-    if (m_records.size() < m_settings.maximumEntries) {
+    std::erase_if(m_entries, [this](const auto &item) { return isForgotten(current(item.second)); });
+    if (m_entries.size() < m_settings.maximumEntries) {
         return;
     }
     // Blamed requests are kept longest, because forgetting one costs further upstreams.
-    const auto victim = std::min_element(m_records.begin(), m_records.end(), [](const auto &left, const auto &right) {
-        return std::tuple(left.second.isBlamed, left.second.crashCount, left.second.unixMilliseconds)
-            < std::tuple(right.second.isBlamed, right.second.crashCount, right.second.unixMilliseconds);
-    });
-    m_records.erase(victim);
+    const auto rank = [this](const Known &known) {
+        const CrashSuspectEntry entry = current(known);
+        return std::tuple(entry.openCrashesAlone(), entry.openCrashes(), -entry.sinceLastCrash().count());
+    };
+    const auto victim = std::min_element(
+        m_entries.begin(), m_entries.end(), [&](const auto &left, const auto &right) { return rank(left.second) < rank(right.second); });
+    m_entries.erase(victim);
 }
 
 } // namespace Fuchsiastep
--- a/Libraries/LibWire/AnswerFrame.h
+++ b/Libraries/LibWire/AnswerFrame.h
@@ -24,6 +24,8 @@
     /// Length of the whole body in bytes. What \a body lacks follows in AnswerPart frames.
     std::uint64_t bodyLength = 0;
     std::string body;
+    /// The crash that ended the request, for ErrorCode::UpstreamCrashed; 0 otherwise. See CrashRecord.
+    std::uint64_t crashId = 0;
 
     bool operator==(const AnswerFrame &) const = default;
 };
--- a/Libraries/LibWire/Frame.h
+++ b/Libraries/LibWire/Frame.h
@@ -8,6 +8,9 @@
 #include <LibWire/ConfigurationPullFrame.h>
 #include <LibWire/ConfigurationPushFrame.h>
 #include <LibWire/ConfigurationSnapshotFrame.h>
+#include <LibWire/CrashSuspectsAckFrame.h>
+#include <LibWire/CrashSuspectsFrame.h>
+#include <LibWire/CrashSuspectsQueryFrame.h>
 #include <LibWire/HelloFrame.h>
 #include <LibWire/MembershipSyncFrame.h>
 #include <LibWire/RequestFrame.h>
@@ -31,6 +34,9 @@
     ConfigurationSnapshotFrame,
     SnapshotDeferredFrame,
     VersionNudgeFrame,
-    MembershipSyncFrame>;
+    MembershipSyncFrame,
+    CrashSuspectsFrame,
+    CrashSuspectsAckFrame,
+    CrashSuspectsQueryFrame>;
 
 } // namespace Fuchsiastep
--- a/Libraries/LibWire/FrameCodec.cpp
+++ b/Libraries/LibWire/FrameCodec.cpp
@@ -23,7 +23,7 @@
 void readFields(FrameReader &reader, AnswerFrame &frame)
 {
     reader.takeAll(frame.requestId, frame.outcome, frame.code, frame.detail, frame.status);
-    reader.takeAll(frame.headers, frame.load, frame.bodyLength, frame.body);
+    reader.takeAll(frame.headers, frame.load, frame.bodyLength, frame.body, frame.crashId);
 }
 void readFields(FrameReader &reader, AnswerPartFrame &frame)
 {
@@ -66,6 +66,16 @@
 {
     reader.takeAll(frame.records, frame.wantsAnswer);
 }
+void readFields(FrameReader &reader, CrashSuspectsFrame &frame)
+{
+    reader.takeAll(frame.entries, frame.revision);
+}
+void readFields(FrameReader &reader, CrashSuspectsAckFrame &frame)
+{
+    reader.takeAll(frame.revision);
+}
+void readFields(FrameReader & /*reader*/, CrashSuspectsQueryFrame & /*frame*/)
+{ }
 
 template<typename T>
 Result<Frame> tryReadFrame(FrameReader &reader)
@@ -107,6 +117,12 @@
         return tryReadFrame<VersionNudgeFrame>(reader);
     case FrameType::MembershipSync:
         return tryReadFrame<MembershipSyncFrame>(reader);
+    case FrameType::CrashSuspects:
+        return tryReadFrame<CrashSuspectsFrame>(reader);
+    case FrameType::CrashSuspectsAck:
+        return tryReadFrame<CrashSuspectsAckFrame>(reader);
+    case FrameType::CrashSuspectsQuery:
+        return tryReadFrame<CrashSuspectsQueryFrame>(reader);
     }
     return Error {ErrorCode::FrameUnknownType, std::to_string(static_cast<unsigned>(type))};
 }
--- a/Libraries/LibWire/FrameType.cpp
+++ b/Libraries/LibWire/FrameType.cpp
@@ -7,7 +7,7 @@
 static constexpr std::array FrameTypes {
     FrameTypeInfo {FrameType::Hello, "Hello", 5},
     FrameTypeInfo {FrameType::Request, "Request", 18},
-    FrameTypeInfo {FrameType::Answer, "Answer", 10},
+    FrameTypeInfo {FrameType::Answer, "Answer", 11},
     FrameTypeInfo {FrameType::AnswerPart, "AnswerPart", 5},
     FrameTypeInfo {FrameType::Cancel, "Cancel", 2},
     FrameTypeInfo {FrameType::AnswerPartAck, "AnswerPartAck", 3},
@@ -18,6 +18,9 @@
     FrameTypeInfo {FrameType::SnapshotDeferred, "SnapshotDeferred", 2},
     FrameTypeInfo {FrameType::VersionNudge, "VersionNudge", 2},
     FrameTypeInfo {FrameType::MembershipSync, "MembershipSync", 3},
+    FrameTypeInfo {FrameType::CrashSuspects, "CrashSuspects", 3},
+    FrameTypeInfo {FrameType::CrashSuspectsAck, "CrashSuspectsAck", 2},
+    FrameTypeInfo {FrameType::CrashSuspectsQuery, "CrashSuspectsQuery", 1},
 };
 
 std::span<const FrameTypeInfo> frameTypeTable()
--- a/Libraries/LibWire/FrameType.h
+++ b/Libraries/LibWire/FrameType.h
@@ -21,6 +21,9 @@
     SnapshotDeferred = 14,
     VersionNudge = 15,
     MembershipSync = 20,
+    CrashSuspects = 21,
+    CrashSuspectsAck = 22,
+    CrashSuspectsQuery = 23,
 };
 
 struct FrameTypeInfo
--- a/Libraries/LibWire/FrameWriter.h
+++ b/Libraries/LibWire/FrameWriter.h
@@ -116,6 +116,7 @@
         put(frame.load);
         put(frame.bodyLength);
         put(frame.body);
+        put(frame.crashId);
     }
     void write(const AnswerPartFrame &frame)
     {
@@ -182,6 +183,21 @@
         put(frame.records);
         put(frame.wantsAnswer);
     }
+    void write(const CrashSuspectsFrame &frame)
+    {
+        begin(FrameType::CrashSuspects);
+        put(frame.entries);
+        put(frame.revision);
+    }
+    void write(const CrashSuspectsQueryFrame & /*frame*/)
+    {
+        begin(FrameType::CrashSuspectsQuery);
+    }
+    void write(const CrashSuspectsAckFrame &frame)
+    {
+        begin(FrameType::CrashSuspectsAck);
+        put(frame.revision);
+    }
 
 private:
     msgpack::packer<msgpack::sbuffer> m_packer;
--- a/Tests/LibMembership/Cluster.h
+++ b/Tests/LibMembership/Cluster.h
@@ -66,8 +66,9 @@
         Proxy(const MemberRecord &record, const Clock &clock, Random &random)
             : table(record, clock)
             , detector({}, table, clock, random)
-            , contacts({}, table, clock, random)
+            , contacts({}, table, detector.crashSuspects(), clock, random)
             , remote({}, table, clock, random)
+            , suspectSync({}, table, detector.crashSuspects(), clock, random)
             , distributor({}, table, holder, clock, random)
             , gate({}, table, clock, random)
         { }
@@ -76,6 +77,7 @@
         FailureDetector detector;
         ContactKeeper contacts;
         RemoteSync remote;
+        CrashSuspectSync suspectSync;
         Distributor distributor;
         StartupGate gate;
         TimePoint nextPoll;
@@ -268,6 +270,7 @@
         drain(index, proxy->detector.advance());
         drain(index, proxy->contacts.advance());
         drain(index, proxy->remote.advance());
+        drain(index, proxy->suspectSync.advance());
         drain(index, proxy->distributor.advance());
         drain(index, proxy->gate.advance());
         poll(index);
@@ -279,6 +282,7 @@
         const Proxy &proxy = *node.proxy;
         node.due = std::min(*proxy.detector.nextDeadline(), *proxy.contacts.nextDeadline());
         node.due = std::min({node.due, *proxy.remote.nextDeadline(), proxy.nextPoll});
+        node.due = std::min(node.due, proxy.suspectSync.nextDeadline().value_or(Never));
         node.due = std::min(node.due, proxy.distributor.nextDeadline().value_or(Never));
         node.due = std::min(node.due, proxy.gate.nextDeadline().value_or(Never));
         check(node);
@@ -343,6 +347,7 @@
         const PeerFrame input {nodes[message.from].id, valueOf(frame)};
         drain(message.to, proxy.contacts.handle(input));
         drain(message.to, proxy.remote.handle(input));
+        drain(message.to, proxy.suspectSync.handle(input));
         drain(message.to, proxy.distributor.handle(input));
         drain(message.to, proxy.gate.handle(input));
     }
@@ -401,6 +406,10 @@
         const bool isCutOff = nodes[index].isPlatformCut;
         queue.schedule({index, index, HeadRead {isCutOff ? std::nullopt : std::optional(platform.head())}}, std::chrono::milliseconds(5));
     }
+    void put(std::size_t index, const MergeCrashSuspects &suspects)
+    {
+        drain(index, nodes[index].proxy->detector.handle(suspects));
+    }
     void put(std::size_t index, const MergeRecords &records)
     {
         drain(index, nodes[index].proxy->detector.handle(records));
--- a/Tests/LibMembership/TestMemberData.cpp
+++ b/Tests/LibMembership/TestMemberData.cpp
@@ -51,13 +51,24 @@
         }
         return record;
     }
+    static CrashSuspectEntry randomSuspect(Random &random)
+    {
+        CrashSuspectEntry entry {random.next(), {}};
+        for (std::size_t i = 0; i < random.below(CrashSuspectEntry::MaximumCrashes) + 1; ++i) {
+            const Duration age = std::chrono::milliseconds(random.below(100000));
+            entry.crashes.push_back({random.next(), age, random.chance(0.5), random.chance(0.5)});
+        }
+        return entry;
+    }
     static ProbeCargo randomCargo(Random &random)
     {
         ProbeCargo cargo {"proxy-9", {random.next(), Digest::of(std::to_string(random.next()))}};
         for (std::size_t i = 0; i < random.below(4); ++i) {
             cargo.updates.push_back({randomRecord(random), random.chance(0.5) ? "proxy-3" : ""});
         }
-        cargo.crashSuspects.push_back({random.next(), 3, 1790000000000, random.chance(0.5)});
+        for (std::size_t i = 0; i < random.below(3); ++i) {
+            cargo.crashSuspects.push_back(randomSuspect(random));
+        }
         return cargo;
     }
     static ProbeDatagram randomProbe(Random &random)
@@ -80,6 +91,8 @@
             const std::string label = "seed " + std::to_string(seed);
             const ProbeDatagram probe = randomProbe(random);
             CPPUNIT_ASSERT_MESSAGE(label, valueOf(tryDecodeProbe(encodeProbe(probe))) == probe);
+            const std::vector<CrashSuspectEntry> suspects {randomSuspect(random), randomSuspect(random)};
+            CPPUNIT_ASSERT_MESSAGE(label, valueOf(tryDecodeCrashSuspects(encodeCrashSuspects(suspects))) == suspects);
             MemberSync sync {MemberSyncKind::Exchange, {}};
             for (std::size_t i = 0; i < 20; ++i) {
                 sync.records.push_back(randomRecord(random));
@@ -106,6 +119,12 @@
             bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
             (void)tryDecodeProbe(bytes);
             (void)tryDecodeMemberSync(bytes);
+            std::string suspects = encodeCrashSuspects({randomSuspect(random)});
+            for (std::size_t length = 0; length < suspects.size(); ++length) {
+                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), isError(tryDecodeCrashSuspects(suspects.substr(0, length))));
+            }
+            suspects[random.below(suspects.size())] = static_cast<char>(random.below(256));
+            (void)tryDecodeCrashSuspects(suspects);
         }
         CPPUNIT_ASSERT(isError(tryDecodeProbe(std::string(MaximumDatagramBytes + 1, '\x90'))));
         CPPUNIT_ASSERT(isError(tryDecodeMemberSync("\x92\x02\xdd\xff\xff\xff\xff")));
@@ -310,18 +329,33 @@
         CPPUNIT_ASSERT(queue.isEmpty());
     }
 
+    static CrashSuspectEntry suspect(std::uint64_t fingerprint, std::uint64_t crashId, Duration age, bool wasAlone = false)
+    {
+        return {fingerprint, {{crashId, age, wasAlone, false}}};
+    }
+
     // Guards against fingerprints without bound, and against an old entry that pushes out a new one.
     void testCrashSuspectsAreBounded()
     {
-        CrashSuspectSet set;
+        Clock clock = Clock::manual();
+        CrashSuspectSet set(clock);
         for (std::uint64_t i = 0; i < 2 * CrashSuspectSet::MaximumEntries; ++i) {
-            CPPUNIT_ASSERT(set.merge({i, 1, static_cast<std::int64_t>(1000 + i), false}));
+            clock.advance(std::chrono::milliseconds(1));
+            CPPUNIT_ASSERT(set.merge(suspect(i, 1, std::chrono::milliseconds(0))));
             CPPUNIT_ASSERT(set.size() <= CrashSuspectSet::MaximumEntries);
         }
-        CPPUNIT_ASSERT(!set.merge({0, 9, 5, true}));
-        CPPUNIT_ASSERT(set.merge({400, 2, 1, true}));
-        CPPUNIT_ASSERT(*set.find(400) == (CrashSuspectEntry {400, 2, 1400, true}));
-        CPPUNIT_ASSERT(!set.merge({400, 1, 7, false}));
+        CPPUNIT_ASSERT(!set.merge(suspect(0, 1, std::chrono::seconds(5))));
+        // The same crash, told again later by a proxy that has seen that the request was alone.
+        CPPUNIT_ASSERT(set.merge(suspect(400, 1, std::chrono::milliseconds(7), true)));
+        CPPUNIT_ASSERT(!set.merge(suspect(400, 1, std::chrono::milliseconds(7))));
+        const CrashSuspectEntry known = *set.find(400);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), known.crashes.size());
+        CPPUNIT_ASSERT(known.crashes[0].wasAlone && known.crashes[0].age == std::chrono::milliseconds(111));
+        CPPUNIT_ASSERT(set.merge(suspect(400, 2, std::chrono::milliseconds(0))));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), set.find(400)->openCrashes());
+        clock.advance(CrashSuspectSet::MaximumAge + std::chrono::seconds(1));
+        CPPUNIT_ASSERT(set.merge(suspect(1, 1, std::chrono::milliseconds(0))));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), set.size());
     }
 };
 
--- a/Tests/LibMembership/TestMembers.cpp
+++ b/Tests/LibMembership/TestMembers.cpp
@@ -270,6 +270,7 @@
     }
 
     static constexpr std::uint64_t Fingerprint = 4711;
+    static constexpr std::uint64_t CrashId = 1;
     /// Within this time every proxy has to know of a crash, or it sends the request to further upstreams.
     static constexpr Duration SuspectSpreadTime = seconds(3);
 
@@ -290,7 +291,7 @@
     {
         for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
             Cluster cluster = clusterOfDataCentres(seed);
-            cluster.recordCrash(cluster.random.below(cluster.nodes.size()), {Fingerprint, 1, cluster.clock.unixMilliseconds(), false});
+            cluster.recordCrash(cluster.random.below(cluster.nodes.size()), {Fingerprint, {{CrashId}}});
             cluster.runUntil([&] { return cluster.allSuspect(Fingerprint); }, SuspectSpreadTime, "a proxy does not know of the crash");
         }
     }
@@ -307,7 +308,7 @@
                 return isInside(from) != isInside(to);
             };
             cluster.run(seconds(1));
-            cluster.recordCrash(4 + cluster.random.below(12), {Fingerprint, 1, cluster.clock.unixMilliseconds(), false});
+            cluster.recordCrash(4 + cluster.random.below(12), {Fingerprint, {{CrashId}}});
             cluster.run(seconds(1) + cluster.random.jitter(seconds(15)));
             cluster.isCut = [](std::size_t, std::size_t) {
                 return false;
@@ -322,7 +323,7 @@
     {
         for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
             Cluster cluster = clusterOfDataCentres(seed);
-            cluster.recordCrash(cluster.random.below(cluster.nodes.size()), {Fingerprint, 1, cluster.clock.unixMilliseconds(), false});
+            cluster.recordCrash(cluster.random.below(cluster.nodes.size()), {Fingerprint, {{CrashId}}});
             cluster.run(seconds(40));
             const std::size_t first = 4 * cluster.random.below(4);
             const std::size_t count = seed % 2 == 0 ? 4 : 1;
--- a/Tests/LibRequest/TestRequestCoordinator.cpp
+++ b/Tests/LibRequest/TestRequestCoordinator.cpp
@@ -59,6 +59,7 @@
         {
             AnswerFrame frame {sent.back().frame.requestId, outcome, code, {}, 200, {}, {}, bodyLength, {}};
             frame.load = load;
+            frame.crashId = code == ErrorCode::UpstreamCrashed ? frame.requestId + 1000 : 0;
             const std::uint64_t connection = std::stoul(sent.back().proxyId.substr(1));
             take(coordinator.handle(PeerAnswer {sent.back().proxyId, connection, 1, frame}));
         }
@@ -262,8 +263,8 @@
         for (const bool isKiller : {false, true}) {
             Fixture fixture;
             const std::uint64_t fingerprint = requestFingerprint("desk", "GET", "/", "");
-            fixture.routing.suspects.recordCrash("x1", {fingerprint}, false);
-            fixture.routing.suspects.recordCrash("x2", {fingerprint}, false);
+            fixture.routing.suspects.recordCrash(1, {fingerprint}, false);
+            fixture.routing.suspects.recordCrash(2, {fingerprint}, false);
             for (int copy = 0; copy < 8; ++copy) {
                 fixture.send("GET", "");
             }
--- a/Tests/LibRouting/TestEvidence.cpp
+++ b/Tests/LibRouting/TestEvidence.cpp
@@ -103,7 +103,7 @@
                     while (!isAlone && inFlight.size() < 6) {
                         inFlight.push_back(random.below(20));
                     }
-                    proxy.recordCrash("u" + std::to_string(step), inFlight, isAlone);
+                    proxy.recordCrash(static_cast<std::uint64_t>(step), inFlight, isAlone);
                     ++crashes;
                 }
                 for (std::uint64_t innocent = 0; innocent < 20; ++innocent) {
@@ -134,8 +134,8 @@
         Clock clock = Clock::manual();
         CrashSuspects first({}, clock);
         CrashSuspects second({}, clock);
-        first.recordCrash("u1", {Fingerprint}, false);
-        second.recordCrash("u2", {Fingerprint}, false);
+        first.recordCrash(1, {Fingerprint}, false);
+        second.recordCrash(2, {Fingerprint}, false);
         const std::vector<CrashSuspectEntry> known = first.entries();
         first.merge(second.entries());
         second.merge(known);
@@ -162,7 +162,7 @@
                 while (!isAlone && inFlight.size() < 6) {
                     inFlight.push_back(random.below(30));
                 }
-                suspects.recordCrash("u" + std::to_string(crash), inFlight, isAlone);
+                suspects.recordCrash(static_cast<std::uint64_t>(crash), inFlight, isAlone);
                 for (std::uint64_t innocent = 0; innocent < 30; ++innocent) {
                     CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), !suspects.isHeldOff(innocent));
                     // A run of it ends well before the next crash, alone where that is asked for.
@@ -180,15 +180,17 @@
         settings.maximumEntries = 100;
         CrashSuspects bounded(settings, clock);
         for (std::uint64_t fingerprint = 1; fingerprint < 2000; ++fingerprint) {
-            bounded.recordCrash("u" + std::to_string(fingerprint), {fingerprint}, fingerprint == 5);
+            bounded.recordCrash(fingerprint, {fingerprint}, fingerprint == 5);
             CPPUNIT_ASSERT(bounded.size() <= settings.maximumEntries);
         }
         for (std::uint64_t seed = 0; seed < 500; ++seed) {
             Random random(seed);
             std::vector<CrashSuspectEntry> entries;
-            for (int entry = 0; entry < 6; ++entry) {
-                const auto count = static_cast<std::uint32_t>(random.below(4));
-                entries.push_back({1, count, clock.unixMilliseconds() - entry * 100, count == 3});
+            for (int entry = 0; entry < 12; ++entry) {
+                const std::uint64_t crashId = random.below(CrashSuspectEntry::MaximumCrashes);
+                // The age that each proxy tells is that of the same crash.
+                const Duration age = std::chrono::seconds(crashId);
+                entries.push_back({1, {{crashId, age, random.chance(0.2), random.chance(0.2)}}});
             }
             CrashSuspects left({}, clock);
             CrashSuspects right({}, clock);
--- a/Tests/LibWire/TestFrames.cpp
+++ b/Tests/LibWire/TestFrames.cpp
@@ -25,6 +25,7 @@
     answer.outcome = RequestOutcome::NotRun;
     answer.code = ErrorCode::Draining;
     answer.status = 503;
+    answer.crashId = 1ULL << 63U;
     answer.load = {6, 2, 1, 400};
     answer.load.serviceMs = 120;
     answer.load.failurePermille = 30;
@@ -41,7 +42,10 @@
         ConfigurationSnapshotFrame {2, Digest::of("b"), "content"},
         SnapshotDeferredFrame {300},
         VersionNudgeFrame {3},
-        MembershipSyncFrame {"records", true}};
+        MembershipSyncFrame {"records", true},
+        CrashSuspectsFrame {"entries", 12},
+        CrashSuspectsAckFrame {12},
+        CrashSuspectsQueryFrame {}};
 }
 
 class TestFrames : public CppUnit::TestFixture
