Recognise a request that crashes upstreams whatever route it takes

Cause: the fingerprint held the service.

Change: the fingerprint holds the caller in place of the service.

TestRequestCoordinator::testRequestIsRecognisedOnEveryRoute failed before (the third request ran beside others) and passes.

--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -572,7 +572,7 @@
 {
     if (!pending.fingerprint) {
         const CallerRequest &request = pending.request;
-        pending.fingerprint = requestFingerprint(request.service, request.method, request.path, request.body);
+        pending.fingerprint = requestFingerprint(request.caller, request.method, request.path, request.body);
     }
     return *pending.fingerprint;
 }
--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -15,7 +15,7 @@
 
 static std::uint64_t fingerprintOf(const RequestFrame &frame)
 {
-    return requestFingerprint(frame.service, frame.method, frame.path, frame.body);
+    return requestFingerprint(frame.caller, frame.method, frame.path, frame.body);
 }
 
 UpstreamGate::UpstreamGate(const Settings &settings, CrashSuspects &suspects, const Clock &clock)
--- a/Tests/LibRequest/TestRequestCoordinator.cpp
+++ b/Tests/LibRequest/TestRequestCoordinator.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(testBoundsOnRequestsAndBytes);
     CPPUNIT_TEST(testAnswersFromOtherConnectionsAreDropped);
     CPPUNIT_TEST(testOneIsolatedRunDecidesForAllLikeIt);
+    CPPUNIT_TEST(testRequestIsRecognisedOnEveryRoute);
     CPPUNIT_TEST(testEndOfAnEarlierConnectionConcernsNoLaterRequest);
     CPPUNIT_TEST(testUpstreamsThatDeclinedAreLeftOut);
     CPPUNIT_TEST_SUITE_END();
@@ -262,7 +263,7 @@
     {
         for (const bool isKiller : {false, true}) {
             Fixture fixture;
-            const std::uint64_t fingerprint = requestFingerprint("desk", "GET", "/", "");
+            const std::uint64_t fingerprint = requestFingerprint("till", "GET", "/", "");
             fixture.routing.suspects.recordCrash(1, {fingerprint}, false);
             fixture.routing.suspects.recordCrash(2, {fingerprint}, false);
             for (int copy = 0; copy < 8; ++copy) {
@@ -281,6 +282,23 @@
             }
         }
     }
+
+    // Guards against a request that starts anew, with no crash counted, where its route leads to another service.
+    void testRequestIsRecognisedOnEveryRoute()
+    {
+        Fixture fixture;
+        fixture.send("POST", "key");
+        fixture.answer(RequestOutcome::Unknown, ErrorCode::UpstreamCrashed);
+        fixture.send("POST", "key");
+        fixture.answer(RequestOutcome::Unknown, ErrorCode::UpstreamCrashed);
+        auto moved = std::make_shared<Route>(*fixture.route);
+        auto selector = std::make_shared<Selector>(*moved->selector);
+        selector->service = "archive";
+        moved->selector = selector;
+        fixture.take(fixture.coordinator.handle(CallerRequest {99, "till", "archive", "POST", "/", {}, "key", std::nullopt, {}, moved}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), fixture.sent.size());
+        CPPUNIT_ASSERT(!fixture.sent[1].frame.isIsolated && fixture.sent[2].frame.isIsolated);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestRequestCoordinator);
--- a/Tests/LibRequest/TestUpstreamGate.cpp
+++ b/Tests/LibRequest/TestUpstreamGate.cpp
@@ -231,7 +231,7 @@
                 ErrorCode::UpstreamBusy},
             {"held off",
                 [](Fixture &fixture, PeerRequest &item) {
-                    fixture.suspects.recordCrash(1, {requestFingerprint("desk", "GET", item.frame.path, "")}, true);
+                    fixture.suspects.recordCrash(1, {requestFingerprint(item.frame.caller, "GET", item.frame.path, "")}, true);
                 },
                 ErrorCode::RequestHeldOff},
         };
