Acquit a suspect only by a run that ended well

Cause: any answer of the upstream counted as an end, a 504 at the deadline and a 500 included.

Change: answers with a server error acquit nobody. Refusals never did.

TestUpstreamGate::testFailedTrialAcquitsNobody failed for 504 before and passes.

--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -390,7 +390,7 @@
         retryOrFinish(token, pending, answer.outcome, answer.code, std::move(answer.detail));
         return;
     }
-    if (!m_routing.suspects.isEmpty()) {
+    if (!m_routing.suspects.isEmpty() && !isServerError(answer.status)) {
         m_routing.suspects.recordCompletion(fingerprintOf(pending), isIsolated);
     }
     noteEndOfOffer(pending, answer.outcome, answer.code);
--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -186,7 +186,9 @@
         m_serviceTimes.recordSuccess(entry.frame.selector, elapsed);
         m_transfers.recordAnswer(entry.frame.selector, upstreamAnswer.body.size());
     }
-    m_suspects.recordCompletion(entry.fingerprint, m_isolatedRun == upstreamAnswer.localId);
+    if (!isServerError(upstreamAnswer.status)) {
+        m_suspects.recordCompletion(entry.fingerprint, m_isolatedRun == upstreamAnswer.localId);
+    }
     if (entry.hasClaim) {
         m_outputs.emplace_back(ClaimFinished {upstreamAnswer.localId,
             RequestOutcome::Answered,
--- a/Tests/LibRequest/TestUpstreamGate.cpp
+++ b/Tests/LibRequest/TestUpstreamGate.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(testHighPriorityDisplacesLow);
     CPPUNIT_TEST(testCancelAndClaimedWork);
     CPPUNIT_TEST(testEndsOfClaimedRuns);
+    CPPUNIT_TEST(testFailedTrialAcquitsNobody);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint32_t Slots = 6;
@@ -329,6 +330,28 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t(item.isReleased ? 0 : 1), only<ClaimFinished>(outputs).size());
         }
     }
+
+    // Guards against a request that is taken for harmless because the upstream gave it up, for example at its deadline, before
+    // it could crash.
+    void testFailedTrialAcquitsNobody()
+    {
+        struct Case
+        {
+            std::uint16_t status;
+            bool isRefused;
+            bool isAcquitted;
+        };
+        for (const Case &item : {Case {200, false, true}, Case {404, false, true}, Case {504, false, false}, Case {503, true, false}}) {
+            Fixture fixture;
+            PeerRequest trial = request(1);
+            const std::uint64_t fingerprint = requestFingerprint(trial.frame.caller, "GET", trial.frame.path, "");
+            fixture.suspects.recordCrash(1, {fingerprint}, false);
+            fixture.suspects.recordCrash(2, {fingerprint}, false);
+            fixture.handle(trial);
+            fixture.handle(UpstreamAnswer {1, item.status, {}, {}, item.isRefused});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(item.status), !item.isAcquitted, fixture.suspects.mustRunAlone(fingerprint));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestUpstreamGate);
