Count a crash once when the upstream announces its next start

A request needed two crashes alone instead of one before it was held off (BUDGET): four upstreams at least, where three are enough.

Cause: the proxy beside an upstream reports the crash when connections are refused, and reported it once more, with nothing in flight, when the upstream announced its next start. The second report looked like a crash of another cause, and while there are such crashes one crash alone is no proof.

Change: a crash with no known upstream, no run and no recent failure is the one that was reported before.

TestUpstreamGate::testNextStartIsNoSecondCrash failed before (a second report) and passes.

--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -245,6 +245,10 @@
         }
     }
     std::sort(runs.begin(), runs.end());
+    if (!m_upstream && runs.empty() && m_recentFailures.empty()) {
+        // Reported before; the upstream has only announced its next start.
+        return;
+    }
     const CrashReport report = crashReport(runs);
     for (const LocalId localId : runs) {
         Entry &entry = m_entries.at(localId);
--- a/Tests/LibRequest/TestUpstreamGate.cpp
+++ b/Tests/LibRequest/TestUpstreamGate.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(testHighPriorityDisplacesLow);
     CPPUNIT_TEST(testCancelAndClaimedWork);
     CPPUNIT_TEST(testEndsOfClaimedRuns);
+    CPPUNIT_TEST(testNextStartIsNoSecondCrash);
     CPPUNIT_TEST(testFailedTrialAcquitsNobody);
     CPPUNIT_TEST_SUITE_END();
 
@@ -352,6 +353,23 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(item.status), !item.isAcquitted, fixture.suspects.mustRunAlone(fingerprint));
         }
     }
+
+    // Guards against a crash that is counted again when the upstream announces its next start: it would look like a crash of
+    // another cause, and a second crash alone would be needed for blame.
+    void testNextStartIsNoSecondCrash()
+    {
+        Fixture fixture;
+        for (const std::uint64_t id : {1, 2, 3}) {
+            PeerRequest copy = request(id);
+            copy.frame.path = "/same";
+            fixture.handle(copy);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), only<CrashReport>(fixture.handle(UpstreamCrashed {})).size());
+            fixture.clock.advance(std::chrono::seconds(1));
+            CPPUNIT_ASSERT(fixture.handle(UpstreamCrashed {}).empty());
+            fixture.handle(UpstreamAnnounced {"u", "desk", Slots, 100, true});
+        }
+        CPPUNIT_ASSERT(fixture.suspects.isHeldOff(requestFingerprint("till", "GET", "/same", "")));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestUpstreamGate);
