Attribute the crash of a run in isolation to that run

Cause: failures of the last 0.5 s are reported with a crash. A run in isolation starts only when nothing else runs, so that an earlier failure cannot be its crash.

Change: a crash during or right after a run in isolation names that run only.

TestUpstreamGate::testFailureBeforeATrialIsNotItsCause failed before (not alone) and passes.

--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -283,12 +283,17 @@
     }
     report.wasAlone = m_isolatedRun.has_value();
     for (const Failure &failure : m_recentFailures) {
-        if (failure.at + m_settings.crashWindow >= m_clock.now()) {
+        if (failure.at + m_settings.crashWindow < m_clock.now()) {
+            continue;
+        }
+        if (failure.wasIsolated) {
+            report.fingerprints = {failure.fingerprint};
+            report.wasAlone = true;
+        } else if (!report.wasAlone) {
+            // What failed before a run in isolation began is not the cause.
             report.fingerprints.push_back(failure.fingerprint);
-            report.wasAlone = report.wasAlone || failure.wasIsolated;
         }
     }
-    report.wasAlone = report.wasAlone && report.fingerprints.size() == 1;
     return report;
 }
 
--- a/Tests/LibRequest/TestUpstreamGate.cpp
+++ b/Tests/LibRequest/TestUpstreamGate.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(testHighPriorityDisplacesLow);
     CPPUNIT_TEST(testCancelAndClaimedWork);
     CPPUNIT_TEST(testEndsOfClaimedRuns);
+    CPPUNIT_TEST(testFailureBeforeATrialIsNotItsCause);
     CPPUNIT_TEST(testNextStartIsNoSecondCrash);
     CPPUNIT_TEST(testFailedTrialAcquitsNobody);
     CPPUNIT_TEST_SUITE_END();
@@ -370,6 +371,21 @@
         }
         CPPUNIT_ASSERT(fixture.suspects.isHeldOff(requestFingerprint("till", "GET", "/same", "")));
     }
+
+    // Guards against a crash alone that counts as one beside others, because another request had failed just before.
+    void testFailureBeforeATrialIsNotItsCause()
+    {
+        Fixture fixture;
+        fixture.handle(request(1));
+        PeerRequest trial = request(2);
+        trial.frame.isIsolated = true;
+        fixture.handle(trial);
+        fixture.handle(UpstreamFailed {1, true});
+        const auto reports = only<CrashReport>(fixture.handle(UpstreamCrashed {}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), reports.size());
+        CPPUNIT_ASSERT(reports[0].wasAlone);
+        CPPUNIT_ASSERT(reports[0].fingerprints == std::vector {requestFingerprint("till", "GET", trial.frame.path, "")});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestUpstreamGate);
