Tell callers of a held off request how long it is held off

Callers of a request that is held off for a minute were told to come back after the wait of a busy upstream, a second at most, and were refused each time.

Change: Retry-After is what is left of the hold-off.

TestRequestCoordinator::testHeldOffCallerIsToldWhenToComeBack failed before and passes.

--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -493,7 +493,8 @@
     answer.outcome = outcome;
     answer.code = code;
     if (outcome == RequestOutcome::NotRun && !pending.mayHaveRun) {
-        answer.retryAfter = retryAfter(pending);
+        answer.retryAfter =
+            code == ErrorCode::RequestHeldOff ? m_routing.suspects.holdOffLeft(fingerprintOf(pending)) : retryAfter(pending);
     }
     // An earlier try may have run, whatever became of the last one.
     if (pending.mayHaveRun && outcome == RequestOutcome::NotRun) {
--- a/Tests/LibRequest/TestRequestCoordinator.cpp
+++ b/Tests/LibRequest/TestRequestCoordinator.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(testBoundsOnRequestsAndBytes);
     CPPUNIT_TEST(testAnswersFromOtherConnectionsAreDropped);
     CPPUNIT_TEST(testOneIsolatedRunDecidesForAllLikeIt);
+    CPPUNIT_TEST(testHeldOffCallerIsToldWhenToComeBack);
     CPPUNIT_TEST(testRequestIsRecognisedOnEveryRoute);
     CPPUNIT_TEST(testEndOfAnEarlierConnectionConcernsNoLaterRequest);
     CPPUNIT_TEST(testUpstreamsThatDeclinedAreLeftOut);
@@ -299,6 +300,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), fixture.sent.size());
         CPPUNIT_ASSERT(!fixture.sent[1].frame.isIsolated && fixture.sent[2].frame.isIsolated);
     }
+
+    // Guards against callers of a held off request that are told to come back at once, again and again.
+    void testHeldOffCallerIsToldWhenToComeBack()
+    {
+        Fixture fixture;
+        fixture.routing.suspects.recordCrash(1, {requestFingerprint("till", "GET", "/", "")}, true);
+        fixture.clock.advance(std::chrono::seconds(20));
+        fixture.send("GET", "");
+        CPPUNIT_ASSERT(fixture.told.at(0).code == ErrorCode::RequestHeldOff);
+        CPPUNIT_ASSERT(fixture.told.at(0).retryAfter == CrashSuspects::Settings().holdOff - std::chrono::seconds(20));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestRequestCoordinator);
