Run the trial of a suspect on one upstream, whichever proxy makes it

Cause: one trial at a time was kept for each proxy and not for the fleet, and a trial that was refused or that lost its upstream moved on to the next one.

Change: all proxies choose the same upstream of a route for a request, by a hash of both, and a trial goes on to the next one only where that upstream is gone. Trials that wait behind one that crashes the upstream end as held off.

TestRequestCoordinator::testTrialsOfAllProxiesGoToOneUpstream and TestUpstreamGate::testWaitingTrialsEndWithTheFirst failed before and pass.

--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -24,6 +24,14 @@
     ErrorCode::ClaimReleased,
 };
 
+// The upstream that was chosen for a request in isolation is not there, so that the next one may take it.
+static constexpr std::array UpstreamIsGone {
+    ErrorCode::ConnectionRefused,
+    ErrorCode::NoUpstream,
+    ErrorCode::Draining,
+    ErrorCode::NotReady,
+};
+
 static constexpr std::uint16_t ShedStatus = 503;
 
 static const RouteRules &rulesOf(const CallerRequest &request)
@@ -248,8 +256,8 @@
         return;
     }
     const RouteRules &rules = rulesOf(pending.request);
-    const std::vector<std::string> excluded = excludedUpstreamIds(pending);
-    const Result<Placement> placement = tryPlace(pending, excluded);
+    const std::vector<std::string> excluded = isIsolated ? pending.triedUpstreamIds : excludedUpstreamIds(pending);
+    const Result<Placement> placement = isIsolated ? trialPlacement(pending, excluded) : tryPlace(pending, excluded);
     if (isError(placement)) {
         if (pending.offers > 0) {
             finishWithout(token, RequestOutcome::NotRun, pending.lastCode, pending.lastDetail);
@@ -279,6 +287,26 @@
     return m_selector.tryPlace(route, {route->selector->rules.targetLatency, m_answerSizes.meanOf(route->selector->name), excluded});
 }
 
+Result<Placement> RequestCoordinator::trialPlacement(Pending &pending, const std::vector<std::string> &excluded)
+{
+    // Every proxy chooses the same upstream, so that trials of one request on several proxies cost one upstream.
+    const std::uint64_t fingerprint = fingerprintOf(pending);
+    std::shared_ptr<const Endpoint> chosen;
+    std::uint64_t highest = 0;
+    for (const std::shared_ptr<const Endpoint> &endpoint : pending.request.route->endpoints) {
+        const std::uint64_t score = stableHash(endpoint->upstreamId, fingerprint);
+        const bool isExcluded = endpoint->isDraining || std::find(excluded.begin(), excluded.end(), endpoint->upstreamId) != excluded.end();
+        if (!isExcluded && (chosen == nullptr || score > highest)) {
+            chosen = endpoint;
+            highest = score;
+        }
+    }
+    if (chosen == nullptr) {
+        return Error {ErrorCode::NoUpstream, pending.request.service};
+    }
+    return Placement {chosen, std::nullopt};
+}
+
 Duration RequestCoordinator::targetLeft(const Pending &pending) const
 {
     return pending.targetAt ? std::max(*pending.targetAt - m_clock.now(), Duration(0)) : Duration(0);
@@ -361,6 +389,7 @@
     frame.isIsolated = isIsolated;
     ++m_nextRequestId;
     ++pending.offers;
+    pending.wasIsolated = isIsolated;
     if (isIsolated) {
         m_trials[fingerprintOf(pending)] = token;
     }
@@ -470,6 +499,11 @@
 
 bool RequestCoordinator::mayRetry(const Pending &pending, RequestOutcome outcome, ErrorCode code) const
 {
+    const bool isTrialRefused = pending.wasIsolated && outcome == RequestOutcome::NotRun
+        && std::find(UpstreamIsGone.begin(), UpstreamIsGone.end(), code) == UpstreamIsGone.end();
+    if (isTrialRefused) {
+        return false;
+    }
     const RouteRules &rules = rulesOf(pending.request);
     const bool isUsedUp = hasTarget(rules) ? pending.arrivals > rules.maximumRetries || pending.offers >= m_settings.maximumOffers
                                            : pending.offers > rules.maximumRetries;
--- a/Libraries/LibRequest/RequestCoordinator.h
+++ b/Libraries/LibRequest/RequestCoordinator.h
@@ -82,6 +82,8 @@
         std::uint32_t arrivals = 0;
         std::uint32_t offers = 0;
         std::string lastUpstreamId;
+        /// The last offer was for a run in isolation.
+        bool wasIsolated = false;
         /// The upstream's own failure, which is told if no other upstream does better.
         std::optional<AnswerFrame> failedAnswer;
         ErrorCode lastCode = ErrorCode::None;
@@ -102,6 +104,8 @@
     /// Upstreams that this request need not be offered to.
     std::vector<std::string> excludedUpstreamIds(const Pending &pending) const;
     Result<Placement> tryPlace(const Pending &pending, const std::vector<std::string> &excluded);
+    /// The upstream for a request that has to run alone.
+    Result<Placement> trialPlacement(Pending &pending, const std::vector<std::string> &excluded);
     Duration targetLeft(const Pending &pending) const;
     /// False where the request was held off or waits for another one like it.
     bool passSuspicion(CallerToken token, Pending &pending, bool &isIsolated);
--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -266,6 +266,7 @@
     m_recentFailures.clear();
     m_upstream.reset();
     m_suspects.recordCrash(report.crashId, report.fingerprints, report.wasAlone);
+    releaseHeldOff();
     releaseWaiting(ErrorCode::NoUpstream, "the upstream crashed");
     m_outputs.emplace_back(report);
 }
@@ -528,6 +529,16 @@
     m_outputs.emplace_back(AbortUpstreamRequest {localId});
 }
 
+void UpstreamGate::releaseHeldOff()
+{
+    // Their callers would otherwise try the next upstream before they learn of the crash.
+    for (const LocalId localId : std::deque(m_isolatedQueue)) {
+        if (m_suspects.isHeldOff(fingerprintOf(m_entries.at(localId).frame))) {
+            dropNotRun(localId, ErrorCode::RequestHeldOff, HeldOffDetail);
+        }
+    }
+}
+
 void UpstreamGate::releaseWaiting(ErrorCode code, const std::string &detail)
 {
     std::vector<LocalId> localIds;
--- a/Libraries/LibRequest/UpstreamGate.h
+++ b/Libraries/LibRequest/UpstreamGate.h
@@ -124,6 +124,8 @@
     void cancel(LocalId localId);
     void abort(LocalId localId, Entry &entry);
     void releaseWaiting(ErrorCode code, const std::string &detail);
+    /// Ends the isolated requests that wait and are held off now.
+    void releaseHeldOff();
     void settleClaimed(LocalId localId, Entry &entry, const ClaimSettled &settled);
     void answer(Entry &entry, AnswerFrame frame);
     void answerWithout(Entry &entry, RequestOutcome outcome, ErrorCode code, std::string detail);
--- a/Tests/LibRequest/TestRequestCoordinator.cpp
+++ b/Tests/LibRequest/TestRequestCoordinator.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 namespace Fuchsiastep {
 
 class TestRequestCoordinator : public CppUnit::TestFixture
@@ -12,6 +14,7 @@
     CPPUNIT_TEST(testBoundsOnRequestsAndBytes);
     CPPUNIT_TEST(testAnswersFromOtherConnectionsAreDropped);
     CPPUNIT_TEST(testOneIsolatedRunDecidesForAllLikeIt);
+    CPPUNIT_TEST(testTrialsOfAllProxiesGoToOneUpstream);
     CPPUNIT_TEST(testHeldOffCallerIsToldWhenToComeBack);
     CPPUNIT_TEST(testRequestIsRecognisedOnEveryRoute);
     CPPUNIT_TEST(testEndOfAnEarlierConnectionConcernsNoLaterRequest);
@@ -311,6 +314,35 @@
         CPPUNIT_ASSERT(fixture.told.at(0).code == ErrorCode::RequestHeldOff);
         CPPUNIT_ASSERT(fixture.told.at(0).retryAfter == CrashSuspects::Settings().holdOff - std::chrono::seconds(20));
     }
+
+    // Guards against proxies that try a suspect on an upstream each, so that one request costs as many upstreams as there
+    // are proxies.
+    void testTrialsOfAllProxiesGoToOneUpstream()
+    {
+        std::set<std::string> upstreams;
+        std::set<std::string> next;
+        for (std::uint64_t seed = 0; seed < 20; ++seed) {
+            for (const bool isBusy : {false, true}) {
+                Fixture fixture;
+                fixture.random = Random(seed);
+                const std::uint64_t fingerprint = requestFingerprint("till", "GET", "/", "");
+                fixture.routing.suspects.recordCrash(1, {fingerprint}, false);
+                fixture.routing.suspects.recordCrash(2, {fingerprint}, false);
+                fixture.send("GET", "");
+                CPPUNIT_ASSERT(fixture.sent.back().frame.isIsolated);
+                upstreams.insert(fixture.sent.back().frame.upstreamId);
+                fixture.answer(RequestOutcome::NotRun, isBusy ? ErrorCode::UpstreamBusy : ErrorCode::NoUpstream);
+                // Another trial may be running where it is busy; only an upstream that is gone is replaced.
+                CPPUNIT_ASSERT_EQUAL(std::size_t(isBusy ? 1 : 2), fixture.sent.size());
+                CPPUNIT_ASSERT_EQUAL(std::size_t(isBusy ? 1 : 0), fixture.told.size());
+                if (!isBusy) {
+                    next.insert(fixture.sent.back().frame.upstreamId);
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), upstreams.size());
+        CPPUNIT_ASSERT(next.size() == 1 && next != upstreams);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestRequestCoordinator);
--- a/Tests/LibRequest/TestUpstreamGate.cpp
+++ b/Tests/LibRequest/TestUpstreamGate.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(testHighPriorityDisplacesLow);
     CPPUNIT_TEST(testCancelAndClaimedWork);
     CPPUNIT_TEST(testEndsOfClaimedRuns);
+    CPPUNIT_TEST(testWaitingTrialsEndWithTheFirst);
     CPPUNIT_TEST(testFailureBeforeATrialIsNotItsCause);
     CPPUNIT_TEST(testNextStartIsNoSecondCrash);
     CPPUNIT_TEST(testFailedTrialAcquitsNobody);
@@ -386,6 +387,23 @@
         CPPUNIT_ASSERT(reports[0].wasAlone);
         CPPUNIT_ASSERT(reports[0].fingerprints == std::vector {requestFingerprint("till", "GET", trial.frame.path, "")});
     }
+
+    // Guards against trials that waited behind the one that crashed the upstream and go on to the next upstream, because
+    // their proxies are told only that this one is gone.
+    void testWaitingTrialsEndWithTheFirst()
+    {
+        Fixture fixture;
+        for (const std::uint64_t id : {1, 2}) {
+            PeerRequest copy = request(id);
+            copy.frame.path = "/same";
+            copy.frame.isIsolated = true;
+            fixture.handle(copy);
+        }
+        const auto answers = only<SendAnswer>(fixture.handle(UpstreamCrashed {}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), answers.size());
+        CPPUNIT_ASSERT(answers[0].frame.code == ErrorCode::UpstreamCrashed);
+        CPPUNIT_ASSERT(answers[1].frame.code == ErrorCode::RequestHeldOff);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestUpstreamGate);
