Tell callers of a crash before they try another upstream

Cause: the proxy beside the upstream answered "the connection broke" first and then found out, by a connection attempt, that the upstream was gone. Only the gossip told the caller side about the crash.

Change: a run whose connection broke and that may have run is answered after that check, which takes a round trip on the instance. Runs that certainly did not run are answered at once, as before.

--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -339,7 +339,12 @@
                    [this](const UpstreamRequestFailed &failed) {
                        m_metrics.count("fuchsiastep_upstream_failures_total");
                        logEvent(LogEvent::RunEnded, {{"run", failed.localId}, {"error", describe(failed.error)}});
-                       run(m_gate.handle(UpstreamFailed {failed.localId, failed.mayHaveRun}));
+                       const UpstreamFailed failure {failed.localId, failed.mayHaveRun};
+                       if (failed.isConnectionBroken && failed.mayHaveRun) {
+                           m_unconfirmedFailures.push_back(failure);
+                       } else {
+                           run(m_gate.handle(failure));
+                       }
                        if (failed.isConnectionBroken) {
                            confirmCrash();
                        }
@@ -351,14 +356,27 @@
 
 void RequestTask::confirmCrash()
 {
-    // A broken connection alone does not prove a crash: an upstream may close a connection and live on.
+    // A broken connection alone does not prove a crash: an upstream may close a connection and live on. The callers are
+    // told after the check, so that they know of a crash before they try another upstream.
     if (m_isCrashCheckRunning) {
         return;
     }
     m_isCrashCheckRunning = true;
-    m_upstreamClient.checkListening([this](bool isListening) {
+    m_upstreamClient.checkListening([this, count = m_unconfirmedFailures.size()](bool isListening) {
         m_isCrashCheckRunning = false;
-        if (!isListening) {
+        if (isListening) {
+            // Later failures need a later check.
+            const auto end = m_unconfirmedFailures.begin() + static_cast<std::ptrdiff_t>(count);
+            const std::vector<UpstreamFailed> failures(m_unconfirmedFailures.begin(), end);
+            m_unconfirmedFailures.erase(m_unconfirmedFailures.begin(), end);
+            for (const UpstreamFailed &failure : failures) {
+                run(m_gate.handle(failure));
+            }
+            if (!m_unconfirmedFailures.empty()) {
+                confirmCrash();
+            }
+        } else {
+            m_unconfirmedFailures.clear();
             logEvent(LogEvent::UpstreamCrashed, {{"upstream", m_upstream ? m_upstream->upstreamId : std::string()}});
             m_metrics.count("fuchsiastep_upstream_crashes_total");
             run(m_gate.handle(UpstreamCrashed {}));
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -183,6 +183,8 @@
     WeightedSplit m_split;
     std::optional<UpstreamAnnouncement> m_upstream;
     bool m_isCrashCheckRunning = false;
+    /// Runs that may have ended in a crash, until it is known whether the upstream still listens.
+    std::vector<UpstreamFailed> m_unconfirmedFailures;
 
     RoutingState m_routing;
     UpstreamSelector m_selector;
--- a/Tests/Processes/TestCrashingRequest.cpp
+++ b/Tests/Processes/TestCrashingRequest.cpp
@@ -93,6 +93,7 @@
 {
     CPPUNIT_TEST_SUITE(TestCrashingRequest);
     CPPUNIT_TEST(isHeldOffInEveryDataCentre);
+    CPPUNIT_TEST(runsAloneAfterTwoCrashes);
     CPPUNIT_TEST_SUITE_END();
 
     /// Guards against a request that goes on crashing upstreams because proxies of other data centres, and proxies that
@@ -115,6 +116,24 @@
         CPPUNIT_ASSERT_MESSAGE(withSeed(text), load.crashes() >= CrashesThatBlame);
         CPPUNIT_ASSERT_MESSAGE(withSeed(text), load.laterRuns() <= MaximumLaterRuns);
     }
+
+    /// Guards against a proxy that sends the request on before it knows of the crash, so that none of its tries is alone and
+    /// more upstreams are needed to find the cause.
+    void runsAloneAfterTwoCrashes()
+    {
+        constexpr std::uint32_t Upstreams = 8;
+        LabSession lab(testPlan(Upstreams), testOptions(Upstreams));
+        requireDone(lab.tryOpen());
+        for (int request = 0; request < 5; ++request) {
+            HttpCall call = lab.client.callThrough(0, "order-desk", "/lookup/1");
+            call.headers["fuchsiastep-test"] = "crash";
+            lab.client.http().fetch(std::move(call));
+        }
+        const Fleet::Indices all = lab.fleet.all();
+        const auto crashes =
+            std::count_if(all.begin(), all.end(), [&](std::size_t index) { return !lab.fleet.at(index).isUpstreamRunning(); });
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(withSeed("crashes"), CrashesThatBlame, static_cast<std::size_t>(crashes));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestCrashingRequest);
