Keep crash suspects in the platform, so that they outlast the fleet

After all proxies were killed at the same moment, nobody knew of a request that had ended three upstreams, and it ended as many again (BUDGET).

Cause: crash suspects lived in the proxies only.

Change: the proxies that have witnessed a crash write the suspects with two open crashes or more into one row, with a conditional write for each change. The row lies beside the contacts, so that a starting proxy reads it with the scan that it makes anyway. A row that cannot be read is logged and replaced by the next write.

Tried before: a read of its own at the start (83 instead of 65 reads in TestRestartReads at 16 proxies), and a read by bridges 1 s after the start, which was too late for the test below.

TestCrashSuspectStore and TestMembers::testCrashSuspectsOutlastTheFleet are new.

--- a/Libraries/LibCore/LogEvent.cpp
+++ b/Libraries/LibCore/LogEvent.cpp
@@ -52,6 +52,10 @@
         LogEvent::ReaderRoleChanged, "ReaderRoleChanged", LogLevel::Info, "This proxy became or ceased to be a configuration reader."},
     LogEventInfo {
         LogEvent::RangeReassigned, "RangeReassigned", LogLevel::Info, "A delegate did not acknowledge; its range went to another member."},
+    LogEventInfo {LogEvent::CrashSuspectsRejected,
+        "CrashSuspectsRejected",
+        LogLevel::Warning,
+        "Crash suspects from a peer or the platform cannot be read and are ignored."},
     LogEventInfo {LogEvent::RequestRefused, "RequestRefused", LogLevel::Info, "A request was refused as not run."},
     LogEventInfo {LogEvent::RequestUnknown, "RequestUnknown", LogLevel::Warning, "A request ended without knowledge of whether it ran."},
     LogEventInfo {LogEvent::UpstreamAnnounced, "UpstreamAnnounced", LogLevel::Info, "The upstream of this instance announced itself."},
--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -48,6 +48,7 @@
     IsolationSuspected = 5004,
     ReaderRoleChanged = 5005,
     RangeReassigned = 5006,
+    CrashSuspectsRejected = 5007,
 
     RequestRefused = 6000,
     RequestUnknown = 6001,
--- a/Libraries/LibMembership/ContactKeeper.cpp
+++ b/Libraries/LibMembership/ContactKeeper.cpp
@@ -88,7 +88,9 @@
     }
     if (rows != nullptr) {
         for (const Row &row : rows->rows) {
-            if (std::optional<Contact> contact = contactOfRow(row)) {
+            if (row.key == CrashSuspectsKey) {
+                m_outputs.emplace_back(CrashSuspectRow {row});
+            } else if (std::optional<Contact> contact = contactOfRow(row)) {
                 contacts.push_back(std::move(*contact));
             }
         }
--- a/Libraries/LibMembership/ContactKeeperMessages.h
+++ b/Libraries/LibMembership/ContactKeeperMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibMembership/CrashSuspectStoreMessages.h>
 #include <LibMembership/MergeRecords.h>
 #include <LibMembership/PeerFrame.h>
 #include <LibMembership/SendFrame.h>
@@ -18,6 +19,6 @@
     std::size_t memberCount = 0;
 };
 
-using ContactKeeperOutput = std::variant<PlatformCall, SendFrame, SendFrameToAddress, MergeRecords, JoinCompleted>;
+using ContactKeeperOutput = std::variant<PlatformCall, SendFrame, SendFrameToAddress, MergeRecords, CrashSuspectRow, JoinCompleted>;
 
 } // namespace Fuchsiastep
--- a/Libraries/LibMembership/ContactRow.h
+++ b/Libraries/LibMembership/ContactRow.h
@@ -23,6 +23,9 @@
     bool operator==(const Contact &) const = default;
 };
 
+/// Key of the row that holds the crash suspects of the fleet; see CrashSuspectStore.
+constexpr std::string_view CrashSuspectsKey = "contact/crash-suspects";
+
 std::string contactKey(std::string_view dataCentre, std::size_t slot);
 /// Nothing where the row is absent or no contact.
 std::optional<Contact> contactOfRow(const Row &row);
--- a/Libraries/LibMembership/CrashSuspectCodec.cpp
+++ b/Libraries/LibMembership/CrashSuspectCodec.cpp
@@ -73,6 +73,35 @@
     return entries;
 }
 
+std::string encodeStoredCrashSuspects(const std::vector<CrashSuspectEntry> &entries, std::int64_t unixMilliseconds)
+{
+    MsgpackWriter writer;
+    writer.beginArray(2);
+    writer.put(unixMilliseconds);
+    writer.beginArray(entries.size());
+    for (const CrashSuspectEntry &entry : entries) {
+        writeCrashSuspect(writer, entry);
+    }
+    return writer.take();
+}
+
+Result<std::vector<CrashSuspectEntry>> tryDecodeStoredCrashSuspects(std::string_view value, std::int64_t unixMilliseconds)
+{
+    std::int64_t writtenAt = 0;
+    std::vector<CrashSuspectEntry> entries;
+    const bool isRead = readMsgpack(value, MaximumContentBytes, [&](MsgpackReader &reader) {
+        writtenAt = reader.takeSigned(0, std::numeric_limits<std::int64_t>::max());
+        reader.takeArray([&](MsgpackReader &list) { entries.push_back(takeCrashSuspect(list)); });
+    });
+    if (!isRead) {
+        return Error {ErrorCode::PlatformMalformedAnswer, "crash suspects"};
+    }
+    for (CrashSuspectEntry &entry : entries) {
+        entry = entry.aged(Milliseconds(std::clamp<std::int64_t>(unixMilliseconds - writtenAt, 0, MaximumAgeMs)));
+    }
+    return entries;
+}
+
 std::size_t encodedSize(const CrashSuspectEntry &entry)
 {
     MsgpackWriter writer;
--- a/Libraries/LibMembership/LibMembership.h
+++ b/Libraries/LibMembership/LibMembership.h
@@ -5,6 +5,7 @@
 #include <LibMembership/ContactKeeper.h>
 #include <LibMembership/CrashSuspectCodec.h>
 #include <LibMembership/CrashSuspectSet.h>
+#include <LibMembership/CrashSuspectStore.h>
 #include <LibMembership/CrashSuspectSync.h>
 #include <LibMembership/Distributor.h>
 #include <LibMembership/FailureDetector.h>
--- a/Libraries/LibProxy/MembershipTask.cpp
+++ b/Libraries/LibProxy/MembershipTask.cpp
@@ -38,6 +38,7 @@
     , m_contacts(contactSettings(settings), m_table, m_detector.crashSuspects(), clock, random)
     , m_remotes({}, m_table, clock, random)
     , m_suspectSync({}, m_table, m_detector.crashSuspects(), clock, random)
+    , m_suspectStore({}, m_detector.crashSuspects(), clock, random)
     , m_timer(clock, [this] { runDue(); })
     , m_mailbox([this](MembershipTaskMessage message) {
         std::visit([this](const auto &content) { handle(content); }, message);
@@ -108,6 +109,16 @@
     run(m_detector.handle(record));
 }
 
+void MembershipTask::handle(const CrashWitnessed &witnessed)
+{
+    run(m_suspectStore.handle(witnessed));
+}
+
+void MembershipTask::handle(const CrashSuspectStoreReply &answer)
+{
+    run(m_suspectStore.handle(answer.reply));
+}
+
 void MembershipTask::handle(const StatusWanted &wanted)
 {
     JsonValue::Array members;
@@ -179,6 +190,7 @@
                        [this](const SendFrame &send) { sendFrame(send); },
                        [this](const SendFrameToAddress &send) { m_links.sendToAddress(send.address, send.frame); },
                        [this](const MergeRecords &merge) { run(m_detector.handle(merge)); },
+                       [this](const CrashSuspectRow &found) { run(m_suspectStore.handle(found)); },
                        [this](const JoinCompleted &joined) { m_onEvent(joined); },
                    },
             output);
@@ -208,7 +220,25 @@
                        [this](const SendFrame &send) { sendFrame(send); },
                        [this](const MergeCrashSuspects &merge) { run(m_detector.handle(merge)); },
                        [](const CrashSuspectsRejected &rejected) {
-                           logEvent(LogEvent::FrameRejected, {{"peer", rejected.peer}, {"error", describe(rejected.error)}});
+                           logEvent(LogEvent::CrashSuspectsRejected, {{"peer", rejected.peer}, {"error", describe(rejected.error)}});
+                       },
+                   },
+            output);
+    }
+}
+
+void MembershipTask::run(std::vector<CrashSuspectStoreOutput> outputs)
+{
+    for (CrashSuspectStoreOutput &output : outputs) {
+        std::visit(Overloaded {
+                       [this](PlatformCall &call) {
+                           sendPlatformCall(m_platform, std::move(call), [this](PlatformReply reply) {
+                               post(CrashSuspectStoreReply {std::move(reply)});
+                           });
+                       },
+                       [this](const MergeCrashSuspects &merge) { run(m_detector.handle(merge)); },
+                       [](const StoredCrashSuspectsRejected &rejected) {
+                           logEvent(LogEvent::CrashSuspectsRejected, {{"peer", "platform"}, {"error", describe(rejected.error)}});
                        },
                    },
             output);
@@ -288,6 +318,7 @@
     run(m_contacts.advance());
     run(m_remotes.advance());
     run(m_suspectSync.advance());
+    run(m_suspectStore.advance());
     finishTurn();
 }
 
@@ -306,8 +337,11 @@
         m_metrics.setGauge("fuchsiastep_members", static_cast<double>(m_table.livePeers().size() + 1));
         m_onEvent(std::move(changed));
     }
-    m_timer.setDeadline(
-        earliestDeadline({m_detector.nextDeadline(), m_contacts.nextDeadline(), m_remotes.nextDeadline(), m_suspectSync.nextDeadline()}));
+    m_timer.setDeadline(earliestDeadline({m_detector.nextDeadline(),
+        m_contacts.nextDeadline(),
+        m_remotes.nextDeadline(),
+        m_suspectSync.nextDeadline(),
+        m_suspectStore.nextDeadline()}));
 }
 
 } // namespace Fuchsiastep
--- a/Libraries/LibProxy/MembershipTask.h
+++ b/Libraries/LibProxy/MembershipTask.h
@@ -18,8 +18,21 @@
 
 namespace Fuchsiastep {
 
-using MembershipTaskMessage =
-    std::variant<PeerFrame, PlatformReply, HeldVersionChanged, OwnRecordChanged, LeaveRequested, CrashSuspectRecorded, StatusWanted>;
+/// The answer to a call of the CrashSuspectStore.
+struct CrashSuspectStoreReply
+{
+    PlatformReply reply;
+};
+
+using MembershipTaskMessage = std::variant<PeerFrame,
+    PlatformReply,
+    CrashSuspectStoreReply,
+    HeldVersionChanged,
+    OwnRecordChanged,
+    LeaveRequested,
+    CrashSuspectRecorded,
+    CrashWitnessed,
+    StatusWanted>;
 
 /// Upstreams that came, changed or went.
 struct EndpointsChanged
@@ -67,6 +80,8 @@
     void handle(const OwnRecordChanged &change);
     void handle(const LeaveRequested &request);
     void handle(const CrashSuspectRecorded &record);
+    void handle(const CrashWitnessed &witnessed);
+    void handle(const CrashSuspectStoreReply &answer);
     void handle(const StatusWanted &wanted);
 
     void receive(const SocketAddress &sender, std::string_view content);
@@ -74,6 +89,7 @@
     void run(std::vector<ContactKeeperOutput> outputs);
     void run(std::vector<RemoteSyncOutput> outputs);
     void run(std::vector<CrashSuspectSyncOutput> outputs);
+    void run(std::vector<CrashSuspectStoreOutput> outputs);
     void sendProbe(const SendProbe &probe);
     void sendFrame(const SendFrame &send);
     void noteChange(const MemberChange &change);
@@ -92,6 +108,7 @@
     ContactKeeper m_contacts;
     RemoteSync m_remotes;
     CrashSuspectSync m_suspectSync;
+    CrashSuspectStore m_suspectStore;
     /// Upstreams that changed in this turn; nothing for one that went.
     std::map<std::string, std::optional<Endpoint>> m_changes;
     std::map<std::string, ConfigurationVersion> m_peerVersions;
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -440,12 +440,13 @@
                        [this](const ClaimFinished &finished) { run(m_ledger.handle(finished)); },
                        [this](const ClaimAbandoned &abandoned) { run(m_ledger.handle(abandoned)); },
                        [this](const DrainFinished &) { m_isGateDrained = true; },
-                       [](const CrashReport &report) {
+                       [this](const CrashReport &report) {
                            logEvent(LogEvent::UpstreamCrashed,
                                {{"upstream", report.upstreamId},
                                    {"in_flight", report.fingerprints.size()},
                                    {"fingerprints", joined(report.fingerprints)},
                                    {"alone", report.wasAlone}});
+                           m_onEvent(CrashWitnessed {report.fingerprints});
                        },
                    },
             output);
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/View.h>
 #include <LibMembership/CrashSuspectEntry.h>
+#include <LibMembership/CrashSuspectStoreMessages.h>
 #include <LibPlatform/LibPlatform.h>
 #include <LibProxy/CallParser.h>
 #include <LibProxy/EdgeProtocol.h>
@@ -103,7 +104,7 @@
     std::vector<CrashSuspectEntry> entries;
 };
 
-using RequestTaskEvent = std::variant<RequestsDrained, SuspectsChanged>;
+using RequestTaskEvent = std::variant<RequestsDrained, SuspectsChanged, CrashWitnessed>;
 
 /// Carries requests: it owns the callers' HTTP server, the client of the upstream beside the proxy, and the decision
 /// objects of both sides. Requests between proxies go through PeerLinks.
--- a/Tests/LibMembership/Cluster.h
+++ b/Tests/LibMembership/Cluster.h
@@ -22,6 +22,7 @@
 struct FakePlatform
 {
     std::map<std::string, std::string> rows;
+    std::map<std::string, std::uint64_t> revisions;
     std::vector<Configuration::Pointer> configurations {Configuration::empty()};
     std::vector<ConfigurationDelta> deltas;
     std::uint64_t headReads = 0;
@@ -44,12 +45,24 @@
     PlatformResponse answer(const PlatformRequest &request)
     {
         if (const auto *transaction = std::get_if<Transaction>(&request)) {
+            for (const RowCondition &condition : transaction->conditions) {
+                if (revisions[condition.key] != condition.expectedRevision) {
+                    return Conflict {};
+                }
+            }
             for (const RowWrite &write : transaction->writes) {
                 rows[write.key] = write.value.value_or("");
+                ++revisions[write.key];
             }
             return Committed {1};
         }
         Rows found;
+        if (const auto *read = std::get_if<ReadRows>(&request)) {
+            for (const std::string &key : read->keys) {
+                found.rows.push_back({key, revisions[key], rows.contains(key) ? rows[key] : std::string()});
+            }
+            return found;
+        }
         for (const auto &[key, value] : rows) {
             found.rows.push_back({key, 1, value});
         }
@@ -69,6 +82,7 @@
             , contacts({}, table, detector.crashSuspects(), clock, random)
             , remote({}, table, clock, random)
             , suspectSync({}, table, detector.crashSuspects(), clock, random)
+            , suspectStore({}, detector.crashSuspects(), clock, random)
             , distributor({}, table, holder, clock, random)
             , gate({}, table, clock, random)
         { }
@@ -78,6 +92,7 @@
         ContactKeeper contacts;
         RemoteSync remote;
         CrashSuspectSync suspectSync;
+        CrashSuspectStore suspectStore;
         Distributor distributor;
         StartupGate gate;
         TimePoint nextPoll;
@@ -104,11 +119,15 @@
     {
         std::string content;
     };
+    struct StoreReply
+    {
+        PlatformReply reply;
+    };
     struct Message
     {
         std::size_t from = 0;
         std::size_t to = 0;
-        std::variant<Datagram, FrameBytes, PlatformReply, HeadRead> content;
+        std::variant<Datagram, FrameBytes, PlatformReply, StoreReply, HeadRead> content;
     };
     using Queue = SeededQueue<Message>;
 
@@ -170,6 +189,7 @@
     {
         nodes[index].suspects.insert(entry.fingerprint);
         drain(index, nodes[index].proxy->detector.handle(CrashSuspectRecorded {entry}));
+        drainStore(index, nodes[index].proxy->suspectStore.handle(CrashWitnessed {{entry.fingerprint}}));
         settle(index);
     }
     bool allSuspect(std::uint64_t fingerprint) const
@@ -271,6 +291,7 @@
         drain(index, proxy->contacts.advance());
         drain(index, proxy->remote.advance());
         drain(index, proxy->suspectSync.advance());
+        drainStore(index, proxy->suspectStore.advance());
         drain(index, proxy->distributor.advance());
         drain(index, proxy->gate.advance());
         poll(index);
@@ -283,6 +304,7 @@
         node.due = std::min(*proxy.detector.nextDeadline(), *proxy.contacts.nextDeadline());
         node.due = std::min({node.due, *proxy.remote.nextDeadline(), proxy.nextPoll});
         node.due = std::min(node.due, proxy.suspectSync.nextDeadline().value_or(Never));
+        node.due = std::min(node.due, proxy.suspectStore.nextDeadline().value_or(Never));
         node.due = std::min(node.due, proxy.distributor.nextDeadline().value_or(Never));
         node.due = std::min(node.due, proxy.gate.nextDeadline().value_or(Never));
         check(node);
@@ -355,6 +377,10 @@
     {
         drain(message.to, nodes[message.to].proxy->contacts.handle(reply));
     }
+    void receive(const Message &message, const StoreReply &reply)
+    {
+        drainStore(message.to, nodes[message.to].proxy->suspectStore.handle(reply.reply));
+    }
     void receive(const Message &message, const HeadRead &head)
     {
         drain(message.to, nodes[message.to].proxy->gate.handle(head));
@@ -401,11 +427,28 @@
         const PlatformResponse response = isCutOff ? PlatformFailure {ErrorCode::PlatformUnavailable} : platform.answer(call.request);
         queue.schedule({index, index, PlatformReply {call.id, response}}, std::chrono::milliseconds(5));
     }
+    void drainStore(std::size_t index, const std::vector<CrashSuspectStoreOutput> &outputs)
+    {
+        for (const CrashSuspectStoreOutput &output : outputs) {
+            if (const auto *call = std::get_if<PlatformCall>(&output)) {
+                const bool isCutOff = nodes[index].isPlatformCut;
+                const PlatformResponse response =
+                    isCutOff ? PlatformFailure {ErrorCode::PlatformUnavailable} : platform.answer(call->request);
+                queue.schedule({index, index, StoreReply {{call->id, response}}}, std::chrono::milliseconds(5));
+            } else if (const auto *merge = std::get_if<MergeCrashSuspects>(&output)) {
+                put(index, *merge);
+            }
+        }
+    }
     void put(std::size_t index, const ReadHead &)
     {
         const bool isCutOff = nodes[index].isPlatformCut;
         queue.schedule({index, index, HeadRead {isCutOff ? std::nullopt : std::optional(platform.head())}}, std::chrono::milliseconds(5));
     }
+    void put(std::size_t index, const CrashSuspectRow &found)
+    {
+        drainStore(index, nodes[index].proxy->suspectStore.handle(found));
+    }
     void put(std::size_t index, const MergeCrashSuspects &suspects)
     {
         drain(index, nodes[index].proxy->detector.handle(suspects));
--- a/Tests/LibMembership/TestMembers.cpp
+++ b/Tests/LibMembership/TestMembers.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(testCrashSuspectsReachEveryProxy);
     CPPUNIT_TEST(testCrashSuspectsReachProxiesThatWereCutOff);
     CPPUNIT_TEST(testCrashSuspectsReachRestartedProxies);
+    CPPUNIT_TEST(testCrashSuspectsOutlastTheFleet);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t Seeds = 20;
@@ -337,6 +338,30 @@
             cluster.runUntil([&] { return cluster.allSuspect(Fingerprint); }, SuspectSpreadTime, "not known after the restart");
         }
     }
+
+    // Guards against a request that crashes upstreams anew after every proxy was killed at the same moment.
+    void testCrashSuspectsOutlastTheFleet()
+    {
+        for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+            Cluster cluster = clusterOfDataCentres(seed);
+            for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+                cluster.recordCrash(cluster.random.below(cluster.nodes.size()), {Fingerprint, {{crash}}});
+            }
+            cluster.run(seconds(3));
+            for (std::size_t index = 0; index < cluster.nodes.size(); ++index) {
+                cluster.kill(index);
+            }
+            for (std::size_t index = 0; index < cluster.nodes.size(); ++index) {
+                cluster.start(index);
+            }
+            cluster.runUntil([&] { return cluster.allSuspect(Fingerprint); }, SuspectSpreadTime, "not known after the restart");
+            for (const Cluster::Node &node : cluster.nodes) {
+                const auto known = node.proxy->detector.crashSuspects().find(Fingerprint);
+                CPPUNIT_ASSERT_MESSAGE(cluster.seed, known && known->openCrashes() == 3);
+                CPPUNIT_ASSERT_MESSAGE(cluster.seed, known->sinceLastCrash() >= seconds(3));
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestMembers);
--- a/Tests/Processes/TestCrashingRequest.cpp
+++ b/Tests/Processes/TestCrashingRequest.cpp
@@ -93,12 +93,12 @@
 {
     CPPUNIT_TEST_SUITE(TestCrashingRequest);
     CPPUNIT_TEST(isHeldOffInEveryDataCentre);
+    CPPUNIT_TEST(isHeldOffAfterTheFleetRestarts);
     CPPUNIT_TEST(runsAloneAfterTwoCrashes);
     CPPUNIT_TEST_SUITE_END();
 
-    /// Guards against a request that goes on crashing upstreams because proxies of other data centres, and proxies that
-    /// have restarted, do not learn of its earlier crashes.
-    void isHeldOffInEveryDataCentre()
+    /// Sends the request, restarts proxies, and sends it on.
+    static void check(const std::vector<std::string> &restartedDataCentres)
     {
         constexpr std::uint32_t Upstreams = 12;
         DeploymentPlan plan = testPlan(Upstreams);
@@ -107,7 +107,11 @@
         requireDone(lab.tryOpen());
         CrashingLoad load(lab);
         load.run(std::chrono::seconds(12));
-        const Fleet::Indices restarted = lab.fleet.inDataCentre("mallow");
+        Fleet::Indices restarted = lab.fleet.all();
+        std::erase_if(restarted, [&](std::size_t index) {
+            const std::string &dataCentre = lab.fleet.at(index).dataCentre;
+            return std::find(restartedDataCentres.begin(), restartedDataCentres.end(), dataCentre) == restartedDataCentres.end();
+        });
         lab.fleet.signalProxies(restarted, SIGKILL);
         requireDone(lab.fleet.tryStartProxies(restarted));
         load.run(std::chrono::seconds(12));
@@ -117,6 +121,18 @@
         CPPUNIT_ASSERT_MESSAGE(withSeed(text), load.laterRuns() <= MaximumLaterRuns);
     }
 
+    /// Guards against a request that goes on crashing upstreams because proxies of other data centres, and proxies that
+    /// have restarted, do not learn of its earlier crashes.
+    void isHeldOffInEveryDataCentre()
+    {
+        check({"mallow"});
+    }
+    /// The same where no proxy is left that knows of them.
+    void isHeldOffAfterTheFleetRestarts()
+    {
+        check({"tivoli", "mallow", "kent-yard"});
+    }
+
     /// Guards against a proxy that sends the request on before it knows of the crash, so that none of its tries is alone and
     /// more upstreams are needed to find the cause.
     void runsAloneAfterTwoCrashes()
