Read JSON with a parser that has a depth limit of its own

An announcement of comment, quote and 200,000 opening brackets ended the proxy, and each proxy that read such a text from wherever JSON comes in: announcements, operators, the platform, settings.

Cause: brackets were counted before the text went to a parser that recurses. The count knew strings and no comments, and json-glib takes comments, so that a quote in one hid what follows. json-glib also wraps integers that are too large.

Change: nlohmann-json (nlohmann-json3-dev) in place of json-glib, for reading and writing. Its parser does not recurse, follows RFC 8259 without comments, and hands over each value, so that the depth is checked where it arises. Integers beyond 64 bits stay out of range, numbers beyond a double are malformed. Of the other Debian packages, json-c clamps integers, RapidJSON 1.1 is from 2016, and boost::json is not in libboost-dev 1.74. Port 0 in an announcement or a contact row is refused, and a port above 65535 was before.

The tables of TestPlatformCodecs and TestProxySettings have such entries as well.

--- a/Libraries/LibCore/JsonValue.cpp
+++ b/Libraries/LibCore/JsonValue.cpp
@@ -1,172 +1,171 @@
 #include <LibCore/JsonValue.h>
 
-#include <json-glib/json-glib.h>
+#include <nlohmann/json.hpp>
+
+#include <limits>
+#include <utility>
 
 namespace Fuchsiastep {
 
-static constexpr int MaximumDepth = 64;
+static constexpr std::size_t MaximumDepth = 64;
 
-/// Returns false where the value is nested too deeply.
-static bool convert(JsonNode *node, JsonValue &value, int depth);
+namespace {
 
-static bool convertArray(JsonArray *array, JsonValue &value, int depth)
+/// Builds a value from the events of the parser, which keeps no stack of its own frames for nested values.
+class ValueBuilder
 {
-    JsonValue::Array items(json_array_get_length(array));
-    for (guint i = 0; i < items.size(); ++i) {
-        if (!convert(json_array_get_element(array, i), items[i], depth + 1)) {
-            return false;
-        }
+public:
+    bool null()
+    {
+        return add(JsonValue());
     }
-    value.content = std::move(items);
-    return true;
-}
-
-static bool convertObject(JsonObject *object, JsonValue &value, int depth)
-{
-    JsonValue::Object members;
-    JsonObjectIter iterator;
-    json_object_iter_init(&iterator, object);
-    const gchar *name = nullptr;
-    JsonNode *member = nullptr;
-    while (json_object_iter_next(&iterator, &name, &member)) {
-        if (!convert(member, members[name], depth + 1)) {
-            return false;
+    bool boolean(bool value)
+    {
+        return add(value);
+    }
+    bool number_integer(std::int64_t value)
+    {
+        return add(value);
+    }
+    bool number_unsigned(std::uint64_t value)
+    {
+        // A larger number must not wrap round to one that a range check lets pass.
+        if (value > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max())) {
+            return add(static_cast<double>(value));
         }
+        return add(static_cast<std::int64_t>(value));
     }
-    value.content = std::move(members);
-    return true;
-}
-
-static void convertScalar(JsonNode *node, JsonValue &value)
-{
-    switch (json_node_get_value_type(node)) {
-    case G_TYPE_BOOLEAN:
-        value.content = json_node_get_boolean(node) != FALSE;
-        return;
-    case G_TYPE_INT64:
-        value.content = static_cast<std::int64_t>(json_node_get_int(node));
-        return;
-    case G_TYPE_DOUBLE:
-        value.content = json_node_get_double(node);
-        return;
-    case G_TYPE_STRING:
-        value.content = std::string(json_node_get_string(node));
-        return;
-    default:
-        value.content = nullptr;
+    bool number_float(double value, const std::string & /*text*/)
+    {
+        return add(value);
     }
-}
-
-static bool convert(JsonNode *node, JsonValue &value, int depth)
-{
-    if (depth > MaximumDepth) {
+    bool string(std::string &value)
+    {
+        return add(std::move(value));
+    }
+    bool binary(std::vector<std::uint8_t> & /*value*/)
+    {
         return false;
     }
-    switch (json_node_get_node_type(node)) {
-    case JSON_NODE_ARRAY:
-        return convertArray(json_node_get_array(node), value, depth);
-    case JSON_NODE_OBJECT:
-        return convertObject(json_node_get_object(node), value, depth);
-    case JSON_NODE_VALUE:
-        convertScalar(node, value);
-        return true;
-    case JSON_NODE_NULL:
-        value.content = nullptr;
+    bool start_object(std::size_t /*size*/)
+    {
+        return open(JsonValue::Object());
+    }
+    bool key(std::string &name)
+    {
+        m_open.back().key = std::move(name);
         return true;
     }
-    return false;
-}
+    bool end_object()
+    {
+        return close();
+    }
+    bool start_array(std::size_t /*size*/)
+    {
+        return open(JsonValue::Array());
+    }
+    bool end_array()
+    {
+        return close();
+    }
+    bool parse_error(std::size_t /*position*/, const std::string & /*token*/, const nlohmann::detail::exception &exception)
+    {
+        m_error = exception.what();
+        return false;
+    }
 
-/// The parser recurses, so a text nested too deeply is refused before it is parsed.
-static bool isNestedTooDeeply(std::string_view text)
-{
-    int depth = 0;
-    bool isInString = false;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const char character = text[i];
-        if (isInString) {
-            if (character == '\\') {
-                ++i;
-            } else if (character == '"') {
-                isInString = false;
-            }
-            continue;
+    JsonValue takeRoot()
+    {
+        return std::move(m_root);
+    }
+    const std::string &error() const
+    {
+        return m_error;
+    }
+
+private:
+    struct Container
+    {
+        JsonValue value;
+        /// Of the next member, where the value is an object.
+        std::string key;
+    };
+
+    bool add(JsonValue value)
+    {
+        if (m_open.empty()) {
+            m_root = std::move(value);
+            return true;
         }
-        if (character == '"') {
-            isInString = true;
-        } else if (character == '[' || character == '{') {
-            if (++depth > MaximumDepth) {
-                return true;
-            }
-        } else if (character == ']' || character == '}') {
-            --depth;
+        Container &parent = m_open.back();
+        if (auto *members = std::get_if<JsonValue::Object>(&parent.value.content)) {
+            members->insert_or_assign(std::move(parent.key), std::move(value));
+        } else {
+            std::get<JsonValue::Array>(parent.value.content).push_back(std::move(value));
         }
+        return true;
     }
-    return false;
-}
+
+    bool open(JsonValue container)
+    {
+        if (m_open.size() == MaximumDepth) {
+            m_error = "nested more than " + std::to_string(MaximumDepth) + " levels deep";
+            return false;
+        }
+        m_open.push_back({std::move(container), {}});
+        return true;
+    }
+
+    bool close()
+    {
+        JsonValue value = std::move(m_open.back().value);
+        m_open.pop_back();
+        return add(std::move(value));
+    }
+
+    std::vector<Container> m_open;
+    JsonValue m_root;
+    std::string m_error;
+};
+
+} // namespace
 
 Result<JsonValue> JsonValue::tryParse(std::string_view text)
 {
-    if (isNestedTooDeeply(text)) {
-        return Error {ErrorCode::JsonMalformed, "nested more than 64 levels deep"};
-    }
-    if (!g_utf8_validate(text.data(), static_cast<gssize>(text.size()), nullptr)) {
-        return Error {ErrorCode::JsonMalformed, "not valid UTF-8"};
-    }
-    JsonParser *parser = json_parser_new_immutable();
-    GError *error = nullptr;
-    const bool isParsed = json_parser_load_from_data(parser, text.data(), static_cast<gssize>(text.size()), &error) != FALSE;
-    Result<JsonValue> result = Error {ErrorCode::JsonMalformed, error != nullptr ? error->message : "the text is empty"};
-    g_clear_error(&error);
-    JsonNode *root = isParsed ? json_parser_get_root(parser) : nullptr;
-    if (root != nullptr) {
-        JsonValue value;
-        if (convert(root, value, 0)) {
-            result = std::move(value);
-        }
+    ValueBuilder builder;
+    if (!nlohmann::json::sax_parse(text.begin(), text.end(), &builder)) {
+        return Error {ErrorCode::JsonMalformed, builder.error()};
     }
-    g_object_unref(parser);
-    return result;
+    return builder.takeRoot();
 }
 
-static JsonNode *buildNode(const JsonValue &value)
+static nlohmann::json toLibraryValue(const JsonValue &value)
 {
     return std::visit(Overloaded {
-                          [](std::nullptr_t) { return json_node_new(JSON_NODE_NULL); },
-                          [](bool content) { return json_node_init_boolean(json_node_alloc(), content ? TRUE : FALSE); },
-                          [](std::int64_t content) { return json_node_init_int(json_node_alloc(), content); },
-                          [](double content) { return json_node_init_double(json_node_alloc(), content); },
-                          [](const std::string &content) { return json_node_init_string(json_node_alloc(), content.c_str()); },
                           [](const JsonValue::Array &content) {
-                              JsonArray *array = json_array_sized_new(static_cast<guint>(content.size()));
+                              nlohmann::json array = nlohmann::json::array();
                               for (const JsonValue &item : content) {
-                                  json_array_add_element(array, buildNode(item));
+                                  array.push_back(toLibraryValue(item));
                               }
-                              JsonNode *node = json_node_new(JSON_NODE_ARRAY);
-                              json_node_take_array(node, array);
-                              return node;
+                              return array;
                           },
                           [](const JsonValue::Object &content) {
-                              JsonObject *object = json_object_new();
+                              nlohmann::json object = nlohmann::json::object();
                               for (const auto &[name, member] : content) {
-                                  json_object_set_member(object, name.c_str(), buildNode(member));
+                                  object[name] = toLibraryValue(member);
                               }
-                              JsonNode *node = json_node_new(JSON_NODE_OBJECT);
-                              json_node_take_object(node, object);
-                              return node;
+                              return object;
                           },
+                          [](const auto &content) { return nlohmann::json(content); },
                       },
         value.content);
 }
 
 std::string JsonValue::toText(bool indented) const
 {
-    JsonNode *node = buildNode(*this);
-    char *text = json_to_string(node, indented ? TRUE : FALSE);
-    std::string result = text;
-    g_free(text);
-    json_node_unref(node);
-    return result;
+    constexpr int Indent = 2;
+    // Bytes from outside that are not valid UTF-8 are replaced; they must not stop a status or an answer.
+    return toLibraryValue(*this).dump(indented ? Indent : -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace Fuchsiastep
--- a/Libraries/LibCore/JsonValue.h
+++ b/Libraries/LibCore/JsonValue.h
@@ -11,7 +11,7 @@
 
 namespace Fuchsiastep {
 
-/// A JSON value. Parsing and writing are done by json-glib.
+/// A JSON value. Parsing and writing are done by nlohmann-json.
 struct JsonValue
 {
     using Array = std::vector<JsonValue>;
--- a/Libraries/LibMembership/ContactRow.cpp
+++ b/Libraries/LibMembership/ContactRow.cpp
@@ -14,7 +14,7 @@
         return std::nullopt;
     }
     Result<SocketAddress> address = SocketAddress::tryParse(row.value);
-    if (isError(address)) {
+    if (isError(address) || valueOf(address).port == 0) {
         return std::nullopt;
     }
     return Contact {row.key.substr(ContactPrefix.size(), slash - ContactPrefix.size()), valueOf(std::move(address))};
--- a/Libraries/LibProxy/UpstreamAnnouncement.cpp
+++ b/Libraries/LibProxy/UpstreamAnnouncement.cpp
@@ -38,7 +38,8 @@
     announcement.loadPermille = static_cast<std::uint32_t>(reader.optionalInteger("load_permille", 0, 0, MaximumLoadPermille));
     announcement.isDraining = reader.optionalBool("draining", false);
     reader.finish();
-    if (errors.empty() && isError(address)) {
+    // Port 0 is for listening addresses only.
+    if (errors.empty() && (isError(address) || valueOf(address).port == 0)) {
         errors.push_back({ErrorCode::OperatorRequestMalformed, "$.address: must be IP:PORT"});
     }
     if (!errors.empty()) {
--- a/Meta/install-packages.sh
+++ b/Meta/install-packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(
     g++ ccache cmake ninja-build pkg-config clang-format clang-tidy clang-tools python3 curl git
-    libglib2.0-dev libmsgpack-cxx-dev libboost-dev libsoup-3.0-dev libjson-glib-dev
+    libglib2.0-dev libmsgpack-cxx-dev libboost-dev libsoup-3.0-dev nlohmann-json3-dev
     libabsl-dev liblog4cxx-dev libcppunit-dev libbenchmark-dev valgrind gnuplot-nox
 )
 missing=()
--- a/Tests/LibProxy/TestProxySettings.cpp
+++ b/Tests/LibProxy/TestProxySettings.cpp
@@ -58,6 +58,7 @@
         const std::string longName(64, 'a');
         const std::vector<Case> cases {
             {"{", ErrorCode::SettingsMalformed, ""},
+            {"/*\"*/" + std::string(200'000, '['), ErrorCode::SettingsMalformed, ""},
             {"[]", ErrorCode::SettingsWrongType, "$"},
             {withNames(Platform), ErrorCode::SettingsMissingKey, "$.listen"},
             {withNames(Listen), ErrorCode::SettingsMissingKey, "$.platform"},
--- a/Tests/platform/TestPlatformCodecs.cpp
+++ b/Tests/platform/TestPlatformCodecs.cpp
@@ -65,9 +65,16 @@
             '{' + address + ',' + info + R"(,"status":{"state":"ready","sequence":"4","coldLeftMs":0}})",
             '{' + address + R"(,"info":{"service":"desk","version":"v1","zone":"z","maxConcurrency":0},)" + status + '}',
             '{' + address + ",\"born\":1.5," + info + ',' + status + '}',
+            '{' + address + ",\"born\":99999999999999999999," + info + ',' + status + '}',
+            '{' + address + ",\"born\":1e400," + info + ',' + status + '}',
+            R"({"address":"10.0.0.9:73616",)" + info + ',' + status + '}',
+            R"({"address":"10.0.0.9:-1",)" + info + ',' + status + '}',
+            '{' + address + R"(,"info":{"service":"desk","version":"v1","zone":"z","maxConcurrency":4294967302},)" + status + '}',
+            '{' + address + R"(,"more":)" + std::string(200'000, '[') + std::string(200'000, ']') + ',' + info + ',' + status + '}',
+            "/*\"*/" + std::string(200'000, '['),
         };
         for (const std::string &body : bad) {
-            CPPUNIT_ASSERT_MESSAGE(body, std::holds_alternative<Error>(control("/-/instances/i-7/heartbeat", body)));
+            CPPUNIT_ASSERT_MESSAGE(body.substr(0, 200), std::holds_alternative<Error>(control("/-/instances/i-7/heartbeat", body)));
         }
         const ControlMessage left = control("/-/instances/i-7/deregister", "");
         CPPUNIT_ASSERT_EQUAL(std::string("i-7"), std::get<UpstreamDeparture>(left).upstreamId);
@@ -104,6 +111,11 @@
             "",
             "{}",
             document(plain).substr(0, 200),
+            "/*\"*/" + std::string(200'000, '['),
+            document(plain + R"(,{"name":)" + std::string(200'000, '[')),
+            document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":1e400,"service":"desk","attempts":1})"),
+            document(
+                R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":18446744073709551617,"service":"desk","attempts":1})"),
             document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":1,"service":"desk"})"),
             document(R"({"name":"a","host":"h","prefix":"/a","routeType":"idempotent","timeoutMs":1,"service":"desk","attempts":1})"),
             document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"other","timeoutMs":1,"service":"desk","attempts":1})"),
@@ -113,7 +125,7 @@
                 R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":1,"attempts":1,"weightedServices":[{"service":"desk"}]})"),
         };
         for (const std::string &text : bad) {
-            CPPUNIT_ASSERT_MESSAGE(text, isError(tryReadDocument(text)));
+            CPPUNIT_ASSERT_MESSAGE(text.substr(0, 200), isError(tryReadDocument(text)));
         }
     }
 
