Read the sound rows of a table that holds an odd one

One row that another writer left in a table of the platform, for example with a number out of range, made every answer with it unreadable: the proxies could not read the configuration document beside it any more, or find contacts.

Cause: an error in any row refused the whole answer.

A contact row that cannot be read was skipped without a line and is logged now (5008).

The cases in TestPlatformCodecs::testStoreAnswers failed at the first odd row before and pass.

--- a/Libraries/LibCore/LogEvent.cpp
+++ b/Libraries/LibCore/LogEvent.cpp
@@ -29,6 +29,10 @@
     LogEventInfo {LogEvent::PlatformCallSlow, "PlatformCallSlow", LogLevel::Info, "A call to the platform took longer than a second."},
     LogEventInfo {
         LogEvent::PlatformFaultChanged, "PlatformFaultChanged", LogLevel::Info, "The platform stand-in was told to inject other faults."},
+    LogEventInfo {LogEvent::PlatformRowRejected,
+        "PlatformRowRejected",
+        LogLevel::Warning,
+        "A row in an answer of the platform cannot be read and is ignored."},
     LogEventInfo {
         LogEvent::ConfigurationAdopted, "ConfigurationAdopted", LogLevel::Info, "A configuration version came into force on this proxy."},
     LogEventInfo {LogEvent::ConfigurationRejected, "ConfigurationRejected", LogLevel::Warning, "A delta or snapshot was not applied."},
@@ -56,6 +60,7 @@
         "CrashSuspectsRejected",
         LogLevel::Warning,
         "Crash suspects from a peer or the platform cannot be read and are ignored."},
+    LogEventInfo {LogEvent::ContactRejected, "ContactRejected", LogLevel::Warning, "A contact row cannot be read and is ignored."},
     LogEventInfo {LogEvent::RequestRefused, "RequestRefused", LogLevel::Info, "A request was refused as not run."},
     LogEventInfo {LogEvent::RequestUnknown, "RequestUnknown", LogLevel::Warning, "A request ended without knowledge of whether it ran."},
     LogEventInfo {LogEvent::UpstreamAnnounced, "UpstreamAnnounced", LogLevel::Info, "The upstream of this instance announced itself."},
--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -30,6 +30,7 @@
     PlatformCallFailed = 3000,
     PlatformCallSlow = 3001,
     PlatformFaultChanged = 3002,
+    PlatformRowRejected = 3003,
 
     ConfigurationAdopted = 4000,
     ConfigurationRejected = 4001,
@@ -49,6 +50,7 @@
     ReaderRoleChanged = 5005,
     RangeReassigned = 5006,
     CrashSuspectsRejected = 5007,
+    ContactRejected = 5008,
 
     RequestRefused = 6000,
     RequestUnknown = 6001,
--- a/Libraries/LibMembership/ContactKeeper.cpp
+++ b/Libraries/LibMembership/ContactKeeper.cpp
@@ -92,6 +92,8 @@
                 m_outputs.emplace_back(CrashSuspectRow {row});
             } else if (std::optional<Contact> contact = contactOfRow(row)) {
                 contacts.push_back(std::move(*contact));
+            } else {
+                m_outputs.emplace_back(ContactRejected {row.key});
             }
         }
     }
--- a/Libraries/LibMembership/ContactKeeperMessages.h
+++ b/Libraries/LibMembership/ContactKeeperMessages.h
@@ -7,6 +7,7 @@
 #include <LibPlatform/PlatformCall.h>
 
 #include <cstddef>
+#include <string>
 #include <variant>
 
 namespace Fuchsiastep {
@@ -19,6 +20,13 @@
     std::size_t memberCount = 0;
 };
 
-using ContactKeeperOutput = std::variant<PlatformCall, SendFrame, SendFrameToAddress, MergeRecords, CrashSuspectRow, JoinCompleted>;
+/// A row beside the contacts is neither a contact nor the crash suspects.
+struct ContactRejected
+{
+    std::string key;
+};
+
+using ContactKeeperOutput =
+    std::variant<PlatformCall, SendFrame, SendFrameToAddress, MergeRecords, CrashSuspectRow, ContactRejected, JoinCompleted>;
 
 } // namespace Fuchsiastep
--- a/Libraries/LibProxy/MembershipTask.cpp
+++ b/Libraries/LibProxy/MembershipTask.cpp
@@ -191,6 +191,9 @@
                        [this](const SendFrameToAddress &send) { m_links.sendToAddress(send.address, send.frame); },
                        [this](const MergeRecords &merge) { run(m_detector.handle(merge)); },
                        [this](const CrashSuspectRow &found) { run(m_suspectStore.handle(found)); },
+                       [](const ContactRejected &rejected) {
+                           logEvent(LogEvent::ContactRejected, {{"key", rejected.key}});
+                       },
                        [this](const JoinCompleted &joined) { m_onEvent(joined); },
                    },
             output);
--- a/Tests/platform/TestPlatformCodecs.cpp
+++ b/Tests/platform/TestPlatformCodecs.cpp
@@ -249,6 +249,23 @@
             200,
             "{\"rows\":[" + row + R"(,{"table":"op","part":"","key":"old","tombstone":true}],"rowVersion":531})");
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), std::get<RowsChanged>(valueOf(changes)).rows.size());
+        // Guards against one odd row that keeps all others of the table from being read.
+        const std::vector<std::string> oddRows {
+            "7",
+            "null",
+            R"({"table":"op","key":"odd"})",
+            R"({"table":"op","key":7,"value":"","rowVersion":5})",
+            R"({"table":"op","key":"odd","value":{"a":[[]]},"rowVersion":5})",
+            R"({"table":"op","key":"odd","value":"","rowVersion":99999999999999999999})",
+            R"({"table":"op","key":"odd","value":"","rowVersion":-1})",
+            R"({"table":"op","key":"odd","value":"","rowVersion":5,"tombstone":"yes"})",
+        };
+        for (const std::string &odd : oddRows) {
+            const auto read = decode(WatchRows {"op/config", 1, {}}, 200, "{\"rows\":[" + odd + ',' + row + R"(],"rowVersion":531})");
+            CPPUNIT_ASSERT_MESSAGE(odd, !isError(read));
+            const std::vector<Row> &found = std::get<RowsChanged>(valueOf(read)).rows;
+            CPPUNIT_ASSERT_MESSAGE(odd, found.size() == 1 && found[0].value == "node-1");
+        }
         CPPUNIT_ASSERT(std::holds_alternative<HistoryGone>(valueOf(decode(WatchRows {"op/config", 1, {}}, 410, ""))));
         CPPUNIT_ASSERT(std::holds_alternative<Conflict>(valueOf(decode(Transaction {}, 412, body))));
         for (const unsigned status : {429U, 503U}) {
