Take no refusal of an earlier request for that of a later one

An upstream that wrote an earlier refusal once more on a kept connection made the proxy tell callers "not run, try again" for a request that was running (REFUSED), or run it at a second upstream (TWICE).

Cause: an answer without Request-Id counted as that of the request in flight, also where it said "not run". A request that comes again under its own id could take the connection on which it was refused, and upstreams that speak the native protocol name no request in their answers at all.

A connection carries no request that was refused on it. Where answers name no request, a refusal ends its connection.

A repeated refusal that bears the id of the earlier request was left out before as well.

--- a/Libraries/LibProxy/EdgeProtocol.cpp
+++ b/Libraries/LibProxy/EdgeProtocol.cpp
@@ -15,7 +15,7 @@
     return message;
 }
 
-static UpstreamAnswerKind classifyAnswer(const RequestFrame &, const HttpMessage &answer)
+static UpstreamAnswerKind classifyAnswer(const RequestFrame &, const HttpMessage &answer, AnswerOrigin)
 {
     constexpr std::uint16_t ServiceUnavailable = 503;
     const bool isRefusal = answer.status == ServiceUnavailable && answer.headers.contains(RefusedHeader);
--- a/Libraries/LibProxy/EdgeProtocol.h
+++ b/Libraries/LibProxy/EdgeProtocol.h
@@ -24,6 +24,14 @@
     Foreign,
 };
 
+/// What the connection of an answer has carried before.
+enum class AnswerOrigin {
+    /// Nothing: the answer belongs to the first request.
+    NewConnection,
+    /// Answers of other requests, of which the upstream may write one again.
+    UsedConnection,
+};
+
 /// Somebody asks whether the proxy serves.
 struct ReadinessWanted
 { };
@@ -49,7 +57,9 @@
     std::function<HttpAnswer(const CallerAnswer &answer)> formatAnswer;
     /// The request as it is sent to the upstream. \a timeLeft is what the upstream is granted.
     std::function<HttpMessage(const RequestFrame &request, Duration timeLeft)> formatUpstreamRequest;
-    std::function<UpstreamAnswerKind(const RequestFrame &request, const HttpMessage &answer)> classifyAnswer;
+    std::function<UpstreamAnswerKind(const RequestFrame &request, const HttpMessage &answer, AnswerOrigin origin)> classifyAnswer;
+    /// Upstreams tell in each answer which request it belongs to, so that a repeated answer is recognised.
+    bool doAnswersNameRequests = false;
     std::function<ControlMessage(const HttpRequest &request)> readControl;
     /// Reads the operators' document. Fails with DeclarationMalformed. Not set where the configuration is changed through
     /// the proxies.
--- a/Libraries/LibProxy/UpstreamClient.cpp
+++ b/Libraries/LibProxy/UpstreamClient.cpp
@@ -1,6 +1,7 @@
 #include <LibProxy/UpstreamClient.h>
 
 #include <algorithm>
+#include <set>
 
 namespace Fuchsiastep {
 
@@ -20,6 +21,9 @@
 /// Head of an answer.
 static constexpr std::uint32_t MaximumHeadBytes = 64 * 1024;
 
+/// A connection with more refusals is replaced.
+static constexpr std::size_t MaximumRefusedIds = 64;
+
 struct UpstreamClient::Exchange
 {
     std::uint64_t localId = 0;
@@ -38,6 +42,9 @@
     TimePoint keptUntil;
     /// Closed once the current exchange ends.
     bool isLast = false;
+    AnswerOrigin origin = AnswerOrigin::NewConnection;
+    /// Ids of the requests that were refused here.
+    std::set<std::string> refusedIds;
 
     explicit Connection(const HttpLimits &limits) : parser(HttpParser::Kind::Response, limits)
     { }
@@ -71,17 +78,22 @@
     std::erase_if(m_connections, [](const auto &entry) { return entry.second->exchange == nullptr; });
 }
 
-UpstreamClient::Connection *UpstreamClient::idleConnection(bool isRepeatable)
+UpstreamClient::Connection *UpstreamClient::idleConnection(const RequestFrame &request)
 {
+    if (m_protocol.doAnswersNameRequests && request.traceId.empty()) {
+        // Its answer names nothing.
+        return nullptr;
+    }
     const TimePoint now = m_clock.now();
     std::erase_if(m_connections, [&](const auto &entry) { return entry.second->exchange == nullptr && now >= entry.second->keptUntil; });
     Connection *latest = nullptr;
     for (const auto &[id, connection] : m_connections) {
-        if (connection->exchange == nullptr && (latest == nullptr || connection->usedAt > latest->usedAt)) {
+        const bool isUsable = connection->exchange == nullptr && !connection->refusedIds.contains(request.traceId);
+        if (isUsable && (latest == nullptr || connection->usedAt > latest->usedAt)) {
             latest = connection.get();
         }
     }
-    if (latest != nullptr && !isRepeatable && now > latest->usedAt + RecentUse) {
+    if (latest != nullptr && !request.isRepeatable && now > latest->usedAt + RecentUse) {
         return nullptr;
     }
     return latest;
@@ -107,7 +119,7 @@
     exchange->request = request;
     exchange->request.body.clear();
     exchange->startedAt = m_clock.now();
-    Connection *connection = idleConnection(request.isRepeatable);
+    Connection *connection = idleConnection(request);
     if (connection == nullptr && m_connections.size() >= m_maximumConnections) {
         closeIdleConnections();
     }
@@ -152,7 +164,7 @@
         if (!message) {
             return;
         }
-        const UpstreamAnswerKind kind = m_protocol.classifyAnswer(connection.exchange->request, *message);
+        const UpstreamAnswerKind kind = m_protocol.classifyAnswer(connection.exchange->request, *message, connection.origin);
         if (kind != UpstreamAnswerKind::Foreign) {
             complete(connection, std::move(*message), kind);
             return;
@@ -173,8 +185,14 @@
     connection.keptUntil = now + std::max(Duration(0), message.keepAlive.value_or(AssumedKeepAlive) - KeepAliveMargin);
     // An answer that comes before the whole request was taken leaves a connection on which the rest would be read as
     // the next request; bytes behind an answer belong to no request.
+    const bool isRefusal = kind == UpstreamAnswerKind::Refusal;
+    const bool isRecognisable = !isRefusal || (m_protocol.doAnswersNameRequests && connection.refusedIds.size() < MaximumRefusedIds);
     const bool isReusable = !message.isLast && !connection.isLast && connection.stream->bytesQueued() == 0
-        && connection.parser.isBetweenMessages() && connection.stream->isOpen();
+        && connection.parser.isBetweenMessages() && connection.stream->isOpen() && isRecognisable;
+    connection.origin = AnswerOrigin::UsedConnection;
+    if (isRefusal) {
+        connection.refusedIds.insert(exchange->request.traceId);
+    }
     if (!isReusable) {
         m_connections.erase(connection.id);
     }
@@ -183,7 +201,7 @@
     answered.status = message.status;
     answered.headers = std::move(message.headers);
     answered.body = std::move(message.body);
-    answered.wasRefused = kind == UpstreamAnswerKind::Refusal;
+    answered.wasRefused = isRefusal;
     answered.elapsed = now - exchange->startedAt;
     m_onEvent(std::move(answered));
 }
@@ -202,8 +220,8 @@
     if (how.isOrderly) {
         Result<std::optional<HttpMessage>> last = connection.parser.tryEnd();
         const bool isWhole = !isError(last) && valueOf(last);
-        const UpstreamAnswerKind kind =
-            isWhole ? m_protocol.classifyAnswer(connection.exchange->request, *valueOf(last)) : UpstreamAnswerKind::Foreign;
+        const UpstreamAnswerKind kind = isWhole ? m_protocol.classifyAnswer(connection.exchange->request, *valueOf(last), connection.origin)
+                                                : UpstreamAnswerKind::Foreign;
         if (kind != UpstreamAnswerKind::Foreign) {
             complete(connection, *valueOf(std::move(last)), kind);
             return;
--- a/Libraries/LibProxy/UpstreamClient.h
+++ b/Libraries/LibProxy/UpstreamClient.h
@@ -43,7 +43,8 @@
 using UpstreamClientEvent = std::variant<UpstreamAnswered, UpstreamRequestFailed>;
 
 /// Sends requests to the upstream beside this proxy over HTTP/1.1, one at a time on each connection. Connections are kept
-/// for further requests as long as the upstream surely keeps them too.
+/// for further requests as long as the upstream surely keeps them too. A refusal that the upstream writes once more is not
+/// taken for that of a later request, since "not run" would be false.
 class UpstreamClient
 {
 public:
@@ -71,7 +72,7 @@
     struct Exchange;
     struct Connection;
 
-    Connection *idleConnection(bool isRepeatable);
+    Connection *idleConnection(const RequestFrame &request);
     Connection &openConnection();
     void send(Connection &connection, std::unique_ptr<Exchange> exchange, std::string bytes);
     void receive(std::uint64_t connectionId, std::string_view bytes);
--- a/Tests/platform/TestPlatformCodecs.cpp
+++ b/Tests/platform/TestPlatformCodecs.cpp
@@ -187,7 +187,7 @@
             HttpMessage answer;
             answer.status = status;
             answer.headers = headers;
-            return classifyAnswer(request, answer);
+            return classifyAnswer(request, answer, AnswerOrigin::NewConnection);
         };
         CPPUNIT_ASSERT(kind(200, {{"request-id", "r1"}}) == UpstreamAnswerKind::Answer);
         CPPUNIT_ASSERT(kind(200, {{"request-id", "r0"}}) == UpstreamAnswerKind::Foreign);
--- /dev/null
+++ b/Tests/platform/TestUpstreamAnswers.cpp
@@ -0,0 +1,152 @@
+#include <LibProxy/UpstreamClient.h>
+#include <Support/MainLoop.h>
+#include <Support/ScriptedUpstream.h>
+#include <platform/PlatformAdapter.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+
+namespace Fuchsiastep {
+
+/// UpstreamClient against upstreams that do not keep to the protocol.
+class TestUpstreamAnswers : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestUpstreamAnswers);
+    CPPUNIT_TEST(testRefusalOfAnEarlierRequest);
+    CPPUNIT_TEST(testRefusedRequestTakesAnotherConnection);
+    CPPUNIT_TEST(testRefusalsWithoutIdsEndTheConnection);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::uint64_t MaximumAnswerBytes = 4ULL * 1024 * 1024;
+
+    static EdgeProtocol protocol(EdgeKind kind)
+    {
+        ProxySettings settings;
+        settings.upstream.service = "desk";
+        return kind == EdgeKind::Native ? nativeProtocol() : platformProtocol(settings);
+    }
+
+    struct Fixture
+    {
+        explicit Fixture(ScriptedUpstream::Script script, EdgeKind kind = EdgeKind::Platform)
+            : upstream(std::move(script)), edge(protocol(kind)), client(clock, edge, MaximumAnswerBytes, [this](UpstreamClientEvent event) {
+                last = std::move(event);
+                ++ends;
+            })
+        {
+            client.setUpstream(upstream.address(), 10);
+        }
+
+        void start(const std::string &id)
+        {
+            RequestFrame request;
+            request.method = "GET";
+            request.path = "/";
+            request.traceId = id;
+            request.headers["request-id"] = id;
+            request.isRepeatable = true;
+            ++started;
+            client.start(started, request, std::chrono::seconds(1));
+        }
+        /// Runs a request to its end.
+        void run(const std::string &id)
+        {
+            start(id);
+            CPPUNIT_ASSERT_MESSAGE(id, runUntil([this] { return ends == started; }));
+        }
+        const UpstreamAnswered &answered() const
+        {
+            const auto *answer = std::get_if<UpstreamAnswered>(&last.value());
+            CPPUNIT_ASSERT(answer != nullptr);
+            return *answer;
+        }
+
+        Clock clock = Clock::system();
+        ScriptedUpstream upstream;
+        EdgeProtocol edge;
+        std::uint64_t started = 0;
+        std::uint64_t ends = 0;
+        std::optional<UpstreamClientEvent> last;
+        UpstreamClient client;
+    };
+
+    static std::string answer(unsigned status, const std::string &fields, const std::string &body = {})
+    {
+        return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+            + body;
+    }
+
+    // Guards against "not run" for a request that runs: the upstream writes the refusal of an earlier request once more, just
+    // before it answers, or instead of an answer.
+    void testRefusalOfAnEarlierRequest()
+    {
+        const std::string refusal = answer(503, "Request-Id: r1\r\nNot-Executed: 1\r\n");
+        const std::string refusalWithoutId = answer(503, "Not-Executed: 1\r\n");
+        const std::string misdirectedWithoutId = answer(421, "");
+        for (const std::string &repeated : {refusal, refusalWithoutId, misdirectedWithoutId}) {
+            for (const bool isAnswered : {true, false}) {
+                Fixture fixture([&](std::size_t, std::size_t request) {
+                    const std::string own = isAnswered ? answer(200, "Request-Id: r2\r\n", "done") : std::string();
+                    return ScriptedUpstream::Reply {request == 0 ? refusal : repeated + own};
+                });
+                fixture.run("r1");
+                CPPUNIT_ASSERT(fixture.answered().wasRefused);
+                fixture.start("r2");
+                if (isAnswered) {
+                    CPPUNIT_ASSERT_MESSAGE(repeated, runUntil([&] { return fixture.ends == 2; }));
+                    CPPUNIT_ASSERT_MESSAGE(repeated, fixture.answered().status == 200 && !fixture.answered().wasRefused);
+                } else {
+                    const TimePoint end = fixture.clock.now() + std::chrono::milliseconds(200);
+                    runUntil([&] { return fixture.clock.now() > end; });
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(repeated, std::uint64_t(1), fixture.ends);
+                    fixture.client.abort(2);
+                    CPPUNIT_ASSERT(std::get<UpstreamRequestFailed>(*fixture.last).mayHaveRun);
+                }
+                CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.upstream.connections());
+                // What follows on that connection cannot be told apart.
+                CPPUNIT_ASSERT_MESSAGE(repeated, runUntil([&] { return fixture.upstream.openConnections() == 0; }));
+            }
+        }
+        // On a new connection there is no earlier request to which it could belong.
+        Fixture fixture([&](std::size_t, std::size_t) { return ScriptedUpstream::Reply {refusalWithoutId}; });
+        fixture.run("r1");
+        CPPUNIT_ASSERT(fixture.answered().wasRefused);
+    }
+
+    // Guards against the same where the request is sent again under its own id, which the earlier refusal bears as well.
+    void testRefusedRequestTakesAnotherConnection()
+    {
+        Fixture fixture([&](std::size_t connection, std::size_t request) {
+            const std::string refusal = answer(503, "Request-Id: r1\r\nNot-Executed: 1\r\n");
+            const std::string own = answer(200, "Request-Id: r1\r\n", "done");
+            return ScriptedUpstream::Reply {connection == 0 ? (request == 0 ? refusal : refusal + own) : own};
+        });
+        fixture.run("r1");
+        CPPUNIT_ASSERT(fixture.answered().wasRefused);
+        fixture.run("r1");
+        CPPUNIT_ASSERT(fixture.answered().status == 200 && !fixture.answered().wasRefused);
+    }
+
+    // Guards against the same with upstreams whose answers bear no ids: nothing follows a refusal on its connection.
+    void testRefusalsWithoutIdsEndTheConnection()
+    {
+        Fixture fixture(
+            [&](std::size_t connection, std::size_t request) {
+                const std::string refusal = answer(503, "fuchsiastep-refused: 1\r\n");
+                const std::string own = answer(200, "", "done");
+                return ScriptedUpstream::Reply {connection == 0 ? (request == 0 ? refusal : refusal + own) : own};
+            },
+            EdgeKind::Native);
+        fixture.run("");
+        CPPUNIT_ASSERT(fixture.answered().wasRefused);
+        fixture.run("");
+        CPPUNIT_ASSERT(fixture.answered().status == 200 && !fixture.answered().wasRefused);
+        fixture.run("");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fixture.upstream.connections());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestUpstreamAnswers);
+
+} // namespace Fuchsiastep
