Bound what an upstream may write before and around an answer

An upstream that wrote bytes without end instead of an answer filled the memory of the proxy, or kept it busy, until the deadline of the request.

Cause: heads and bodies were bounded, the framing around them was not: the size or the extension of a chunk, a trailer, and the number of interim answers or answers of other requests.

Change: HttpParser fails where more than the limit of a head waits for the rest of such framing, for requests as well as answers. UpstreamClient ends an exchange that has received more than twice the largest answer.

--- a/Libraries/LibHttp/HttpParser.cpp
+++ b/Libraries/LibHttp/HttpParser.cpp
@@ -172,6 +172,12 @@
         }
         dropRead();
         if (!current.is_done()) {
+            // Bodies are read as they arrive, so that what waits here is part of a head, of the size of a chunk or of a
+            // trailer. The library bounds the first only.
+            if (unread() > limits.headBytes) {
+                const ErrorCode code = kind == Kind::Request ? ErrorCode::HeadTooLarge : ErrorCode::AnswerTruncated;
+                return Error {code, "more than " + std::to_string(limits.headBytes) + " bytes of framing"};
+            }
             return std::optional<HttpMessage>();
         }
         std::optional<HttpMessage> message = takeMessage(current);
--- a/Libraries/LibProxy/UpstreamClient.cpp
+++ b/Libraries/LibProxy/UpstreamClient.cpp
@@ -43,6 +43,8 @@
     /// Closed once the current exchange ends.
     bool isLast = false;
     AnswerOrigin origin = AnswerOrigin::NewConnection;
+    /// Bytes received before the current exchange.
+    std::uint64_t earlierBytes = 0;
     /// Ids of the requests that were refused here.
     std::set<std::string> refusedIds;
 
@@ -137,6 +139,7 @@
         connection.isLast = true;
     }
     connection.exchange = std::move(exchange);
+    connection.earlierBytes = connection.stream->bytesReceived();
     connection.stream->send(std::move(bytes));
     m_expiryTimer.setDeadline(m_clock.now() + ExpiryInterval);
 }
@@ -162,7 +165,7 @@
         }
         std::optional<HttpMessage> message = valueOf(std::move(next));
         if (!message) {
-            return;
+            break;
         }
         const UpstreamAnswerKind kind = m_protocol.classifyAnswer(connection.exchange->request, *message, connection.origin);
         if (kind != UpstreamAnswerKind::Foreign) {
@@ -175,6 +178,10 @@
             return;
         }
     }
+    // The parser bounds each message, but not how many precede the answer.
+    if (connection.stream->bytesReceived() - connection.earlierBytes > 2 * m_maximumAnswerBytes + MaximumHeadBytes) {
+        fail(connectionId, true, false, {ErrorCode::AnswerTruncated, "the upstream writes without end"});
+    }
 }
 
 void UpstreamClient::complete(Connection &connection, HttpMessage message, UpstreamAnswerKind kind)
--- a/Tests/platform/TestUpstreamAnswers.cpp
+++ b/Tests/platform/TestUpstreamAnswers.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(testRefusalOfAnEarlierRequest);
     CPPUNIT_TEST(testRefusedRequestTakesAnotherConnection);
     CPPUNIT_TEST(testRefusalsWithoutIdsEndTheConnection);
+    CPPUNIT_TEST(testAnswersWithoutEnd);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t MaximumAnswerBytes = 4ULL * 1024 * 1024;
@@ -145,6 +146,45 @@
         fixture.run("");
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), fixture.upstream.connections());
     }
+
+    // Guards against bytes that are no answer and never end: they must not fill the memory, or take the processor until the
+    // deadline of the request.
+    void testAnswersWithoutEnd()
+    {
+        const std::string own = "HTTP/1.1 200 X\r\nRequest-Id: r1\r\n";
+        const std::string chunked = own + "Transfer-Encoding: chunked\r\n\r\n";
+        struct Case
+        {
+            std::string name;
+            ScriptedUpstream::Reply reply;
+        };
+        const std::vector<Case> cases {
+            {"no HTTP", {"", "x"}},
+            {"start line", {"HTTP/1.1 200 ", "x"}},
+            {"head", {own, "Field: value\r\n"}},
+            {"field", {own + "Field: ", "x"}},
+            {"body until the end of the connection", {own + "\r\n", "x"}},
+            {"body with a length", {own + "Content-Length: 99999999999\r\n\r\n", "x"}},
+            {"chunks", {chunked, "4\r\nbody\r\n"}},
+            {"size of a chunk", {chunked, "0"}},
+            {"extension of a chunk", {chunked + "4;x=", "x"}},
+            {"trailer", {chunked + "0\r\n", "Field: value\r\n"}},
+            {"interim answers", {"", "HTTP/1.1 102 X\r\n\r\n"}},
+            {"answers of another request", {"", answer(200, "Request-Id: r0\r\n", "other")}},
+            {"bytes behind the answer", {answer(200, "Request-Id: r1\r\n", "done"), "x"}},
+        };
+        for (const Case &item : cases) {
+            Fixture fixture([&](std::size_t, std::size_t) { return item.reply; });
+            fixture.start("r1");
+            CPPUNIT_ASSERT_MESSAGE(item.name, runUntil([&] { return fixture.ends == 1; }));
+            const auto *failed = std::get_if<UpstreamRequestFailed>(&fixture.last.value());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.name == "bytes behind the answer", failed == nullptr);
+            CPPUNIT_ASSERT_MESSAGE(item.name, failed == nullptr || failed->mayHaveRun);
+            CPPUNIT_ASSERT_MESSAGE(item.name, runUntil([&] { return fixture.upstream.openConnections() == 0; }));
+            // The kernel holds some megabytes more.
+            CPPUNIT_ASSERT_MESSAGE(item.name, fixture.upstream.bytesWritten() < 6 * MaximumAnswerBytes);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestUpstreamAnswers);
