Bound the answers of the platform

The client of the platform read an answer whole before it looked at it, so that one without end filled the memory until the call timed out.

Change: the body is read in parts, and an answer of more than 64 MB is refused. libsoup bounds the head.

TestPlatformClient::testAnswersWithoutEnd is new; the limit that it sets did not exist before.

--- a/Libraries/LibPlatform/PlatformClient.cpp
+++ b/Libraries/LibPlatform/PlatformClient.cpp
@@ -30,6 +30,9 @@
     bool isTimedOut = false;
     /// The connection broke and libsoup was about to send the call again.
     bool isRestarted = false;
+    /// Set while the body is read.
+    GInputStream *body = nullptr;
+    std::string content;
 
     Call() = default;
     Call(const Call &) = delete;
@@ -39,6 +42,7 @@
         if (timer != 0) {
             g_source_remove(timer);
         }
+        g_clear_object(&body);
         g_clear_object(&message);
         g_clear_object(&cancellable);
     }
@@ -145,7 +149,7 @@
     // The signal comes after the connection is open and before the first byte.
     g_signal_connect(call.message, "starting", G_CALLBACK(onStarting), &call);
     g_signal_connect(call.message, "restarted", G_CALLBACK(onRestarted), &call);
-    soup_session_send_and_read_async(m_session, call.message, G_PRIORITY_DEFAULT, call.cancellable, onAnswered, &call);
+    soup_session_send_async(m_session, call.message, G_PRIORITY_DEFAULT, call.cancellable, onHead, &call);
 }
 
 void PlatformClient::onNetworkEvent(SoupMessage *, GSocketClientEvent event, GIOStream *stream, gpointer data)
@@ -207,27 +211,64 @@
     return PlatformFailure {{ErrorCode::PlatformOutcomeUnknown, "malformed answer: " + errorOf(response).detail}};
 }
 
-void PlatformClient::onAnswered(GObject *session, GAsyncResult *result, gpointer data)
+void PlatformClient::onHead(GObject *session, GAsyncResult *result, gpointer data)
 {
-    auto *call = static_cast<Call *>(data);
+    auto &call = *static_cast<Call *>(data);
+    g_autoptr(GError) error = nullptr;
+    call.body = soup_session_send_finish(SOUP_SESSION(session), result, &error);
+    if (call.body == nullptr) {
+        answered(call, error->message);
+    } else {
+        readBody(call);
+    }
+}
+
+void PlatformClient::readBody(Call &call)
+{
+    constexpr gsize ChunkBytes = 64 * 1024;
+    g_input_stream_read_bytes_async(call.body, ChunkBytes, G_PRIORITY_DEFAULT, call.cancellable, onBody, &call);
+}
+
+void PlatformClient::onBody(GObject *stream, GAsyncResult *result, gpointer data)
+{
+    auto &call = *static_cast<Call *>(data);
     g_autoptr(GError) error = nullptr;
-    g_autoptr(GBytes) body = soup_session_send_and_read_finish(SOUP_SESSION(session), result, &error);
-    g_signal_handlers_disconnect_by_data(call->message, call);
-    if (call->client == nullptr) {
-        delete call;
+    g_autoptr(GBytes) bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(stream), result, &error);
+    if (bytes == nullptr) {
+        answered(call, error->message);
         return;
     }
-    PlatformClient &client = *call->client;
+    gsize size = 0;
+    const auto *chunk = static_cast<const char *>(g_bytes_get_data(bytes, &size));
+    if (size == 0) {
+        answered(call, std::nullopt);
+        return;
+    }
+    call.content.append(chunk, size);
+    if (call.client != nullptr && call.content.size() > call.client->m_settings.maximumAnswerBytes) {
+        // What is left of the answer ends with its connection.
+        g_cancellable_cancel(call.cancellable);
+        answered(call, "the answer is too long");
+        return;
+    }
+    readBody(call);
+}
+
+void PlatformClient::answered(Call &call, std::optional<std::string> failure)
+{
+    g_signal_handlers_disconnect_by_data(call.message, &call);
+    if (call.client == nullptr) {
+        delete &call;
+        return;
+    }
+    PlatformClient &client = *call.client;
     --client.m_onNetwork;
-    if (body == nullptr) {
-        const char *detail = call->isRestarted ? "connection broken" : call->isTimedOut ? "timeout" : error->message;
-        client.finish(*call, failureOf(call->request, call->hasStarted, detail));
+    if (failure) {
+        const std::string detail = call.isRestarted ? "connection broken" : call.isTimedOut ? "timeout" : *failure;
+        client.finish(call, failureOf(call.request, call.hasStarted, detail));
         return;
     }
-    gsize size = 0;
-    const auto *content = static_cast<const char *>(g_bytes_get_data(body, &size));
-    const std::string_view text = size == 0 ? std::string_view() : std::string_view(content, size);
-    client.finish(*call, decodeAnswer(client.m_settings.protocol, call->request, soup_message_get_status(call->message), text));
+    client.finish(call, decodeAnswer(client.m_settings.protocol, call.request, soup_message_get_status(call.message), call.content));
 }
 
 void PlatformClient::finish(Call &call, PlatformResponse response)
--- a/Libraries/LibPlatform/PlatformClient.h
+++ b/Libraries/LibPlatform/PlatformClient.h
@@ -10,6 +10,8 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <unordered_set>
 
 namespace Fuchsiastep {
@@ -40,7 +42,8 @@
 private:
     struct Call;
 
-    static void onAnswered(GObject *session, GAsyncResult *result, gpointer data);
+    static void onHead(GObject *session, GAsyncResult *result, gpointer data);
+    static void onBody(GObject *stream, GAsyncResult *result, gpointer data);
     static gboolean onTimeout(gpointer data);
     static void onNetworkEvent(SoupMessage *message, GSocketClientEvent event, GIOStream *stream, gpointer data);
     static void onStarting(SoupMessage *message, gpointer data);
@@ -48,6 +51,9 @@
 
     void openSession();
     void start(Call &call);
+    static void readBody(Call &call);
+    /// The whole answer is there, or \a failure says why not.
+    static void answered(Call &call, std::optional<std::string> failure);
     void startWaiting();
     /// Gives \a call its answer and destroys it.
     void finish(Call &call, PlatformResponse response);
--- a/Libraries/LibPlatform/PlatformClientSettings.h
+++ b/Libraries/LibPlatform/PlatformClientSettings.h
@@ -29,6 +29,8 @@
     std::size_t maximumConcurrency = 8;
     /// Calls that wait for one of those; further ones fail at once as PlatformUnavailable.
     std::size_t maximumWaiting = 1024;
+    /// A longer answer is refused. Rows and objects of the platform are smaller.
+    std::size_t maximumAnswerBytes = 64ULL * 1024 * 1024;
     /// Ends a connection that went silent, so that a watch on it does not hang until its own end.
     Duration silenceLimit = std::chrono::seconds(3);
     PlatformProtocol protocol {encodePlatformRequest, tryDecodePlatformResponse, PlatformMediaType};
--- a/Tests/LibPlatform/TestPlatformClient.cpp
+++ b/Tests/LibPlatform/TestPlatformClient.cpp
@@ -1,5 +1,7 @@
 #include <LibPlatform/LibPlatform.h>
 
+#include <Support/ScriptedUpstream.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <array>
@@ -183,6 +185,7 @@
     CPPUNIT_TEST(testMalformedAnswers);
     CPPUNIT_TEST(testConnectionsAreReused);
     CPPUNIT_TEST(testSilentConnectionsAreNotUsedAgain);
+    CPPUNIT_TEST(testAnswersWithoutEnd);
     CPPUNIT_TEST(testWaitingCallsAreNotSent);
     CPPUNIT_TEST(testConcurrentCallsGetTheirOwnAnswers);
     CPPUNIT_TEST(testDestructionDropsCallbacks);
@@ -349,6 +352,29 @@
         CPPUNIT_ASSERT_EQUAL(ErrorCode::None, codeOf(call(client, ReadRows {})));
     }
 
+    // Guards against an answer that never ends and fills the memory until the call times out.
+    void testAnswersWithoutEnd()
+    {
+        for (const std::string &head : {std::string("HTTP/1.1 200 OK\r\n\r\n"),
+                 std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"),
+                 std::string("HTTP/1.1 200 OK\r\nField: "),
+                 std::string("HTTP/1.1 200 OK\r\n")}) {
+            const bool isChunked = head.find("chunked") != std::string::npos;
+            const bool isHead = !head.ends_with("\r\n\r\n") && head.ends_with("\r\n");
+            ScriptedUpstream server([&](std::size_t, std::size_t) {
+                return ScriptedUpstream::Reply {head, isChunked ? "4\r\nbody\r\n" : isHead ? "Field: value\r\n" : "x"};
+            });
+            PlatformClientSettings settings = MutedServer().settings;
+            settings.baseUrl = "http://" + server.address().toString();
+            settings.timeout = std::chrono::seconds(60);
+            settings.maximumAnswerBytes = 1024 * 1024;
+            PlatformClient client(settings);
+            CPPUNIT_ASSERT_MESSAGE(head, codeOf(call(client, ReadRows {})) != ErrorCode::None);
+            // The kernel holds some megabytes more.
+            CPPUNIT_ASSERT_MESSAGE(head, server.bytesWritten() < 16 * settings.maximumAnswerBytes);
+        }
+    }
+
     void testWaitingCallsAreNotSent()
     {
         LoopbackPlatform platform;
