--- a/Libraries/LibCore/JsonValue.cpp
+++ b/Libraries/LibCore/JsonValue.cpp
@@ -15,6 +15,7 @@
 class ValueBuilder
 {
 public:
+    // NOLINTBEGIN(readability-identifier-naming): the parser calls its handler by these names.
     bool null()
     {
         return add(JsonValue());
@@ -74,6 +75,8 @@
         return false;
     }
 
+    // NOLINTEND(readability-identifier-naming)
+
     JsonValue takeRoot()
     {
         return std::move(m_root);
--- a/Tests/LibConfiguration/TestDocumentReader.cpp
+++ b/Tests/LibConfiguration/TestDocumentReader.cpp
@@ -79,7 +79,7 @@
         using Queue = SeededQueue<std::function<void()>>;
         using Reply = std::function<void(CallId id, const PlatformResponse &response)>;
 
-        SilentPlatform(Clock &clock, Queue &queue, Reply reply) : m_clock(clock), m_queue(queue), m_reply(std::move(reply))
+        SilentPlatform(Queue &queue, Reply reply) : m_queue(queue), m_reply(std::move(reply))
         { }
 
         void change()
@@ -161,7 +161,6 @@
                 delay);
         }
 
-        Clock &m_clock;
         Queue &m_queue;
         Reply m_reply;
         std::uint64_t m_revision = 1;
@@ -185,11 +184,11 @@
             SilentPlatform::Queue queue(clock, random, {});
             DocumentReader reader({Key}, clock, random);
             std::string found;
-            std::function<void(std::vector<DocumentReaderOutput>)> apply;
-            SilentPlatform platform(clock, queue, [&](CallId id, const PlatformResponse &response) {
+            std::function<void(const std::vector<DocumentReaderOutput> &)> apply;
+            SilentPlatform platform(queue, [&](CallId id, const PlatformResponse &response) {
                 apply(reader.handle(PlatformReply {id, response}));
             });
-            apply = [&](std::vector<DocumentReaderOutput> outputs) {
+            apply = [&](const std::vector<DocumentReaderOutput> &outputs) {
                 for (const DocumentReaderOutput &output : outputs) {
                     if (const auto *call = std::get_if<PlatformCall>(&output)) {
                         platform.receive(*call);
@@ -223,8 +222,8 @@
                     const std::uint64_t revision = platform.revision();
                     queue.schedule(
                         [&found, revision, message] {
-                            CPPUNIT_ASSERT_MESSAGE(
-                                message + ": found " + found + ", not " + std::to_string(revision), std::stoull(found) >= revision);
+                            const bool isFound = std::stoull(found) >= revision;
+                            CPPUNIT_ASSERT_MESSAGE(message + ", revision " + std::to_string(revision), isFound);
                         },
                         due - clock.now());
                 }
--- a/Tests/platform/TestPlatformCodecs.cpp
+++ b/Tests/platform/TestPlatformCodecs.cpp
@@ -261,7 +261,9 @@
             R"({"table":"op","key":"odd","value":"","rowVersion":5,"tombstone":"yes"})",
         };
         for (const std::string &odd : oddRows) {
-            const auto read = decode(WatchRows {"op/config", 1, {}}, 200, "{\"rows\":[" + odd + ',' + row + R"(],"rowVersion":531})");
+            std::string text = "{\"rows\":[";
+            text.append(odd).append(",").append(row).append("],\"rowVersion\":531}");
+            const auto read = decode(WatchRows {"op/config", 1, {}}, 200, text);
             CPPUNIT_ASSERT_MESSAGE(odd, !isError(read));
             const std::vector<Row> &found = std::get<RowsChanged>(valueOf(read)).rows;
             CPPUNIT_ASSERT_MESSAGE(odd, found.size() == 1 && found[0].value == "node-1");
