Use the usual terms in the new names and comments

Found by reading the change as a newcomer: crashes are observed, malformed input has its test under that name, and some comments say more plainly what they mean. No behaviour changes.

--- a/Libraries/LibConfiguration/DocumentReader.cpp
+++ b/Libraries/LibConfiguration/DocumentReader.cpp
@@ -67,7 +67,7 @@
 
 Duration DocumentReader::watchTime() const
 {
-    // Longer watches than this would save hardly any calls.
+    // Watches beyond 16 s would save hardly any calls.
     constexpr std::uint32_t MaximumDoublings = 4;
     return m_settings.watchTime * (1U << std::min(m_rank, MaximumDoublings));
 }
@@ -137,7 +137,7 @@
     m_outputs.emplace_back(
         DocumentFailure {failure != nullptr ? failure->error : Error {ErrorCode::PlatformMalformedAnswer, "an answer of another kind"}});
     if (!m_readCall && !m_nextRead) {
-        // An overdue watch has spaced the calls already.
+        // The overdue watch has delayed this read already.
         m_nextRead = m_clock.now() + (isOverdue ? Duration(0) : m_backoff.next(m_random));
     }
 }
--- a/Libraries/LibMembership/CrashSuspectSet.cpp
+++ b/Libraries/LibMembership/CrashSuspectSet.cpp
@@ -55,7 +55,7 @@
     const auto oldest = std::max_element(m_entries.begin(), m_entries.end(), [this](const auto &left, const auto &right) {
         return current(left.second).sinceLastCrash() < current(right.second).sinceLastCrash();
     });
-    // An entry older than all others would otherwise push out a newer one each time that it comes round.
+    // An entry older than all others would otherwise replace a newer one each time that it is received.
     if (current(oldest->second).sinceLastCrash() <= entry.sinceLastCrash()) {
         return false;
     }
--- a/Libraries/LibMembership/CrashSuspectStore.cpp
+++ b/Libraries/LibMembership/CrashSuspectStore.cpp
@@ -42,17 +42,17 @@
 
 std::optional<TimePoint> CrashSuspectStore::nextDeadline() const
 {
-    if (!m_witnessed.empty() && m_checkedRevision != m_suspects.revision()) {
+    if (!m_observed.empty() && m_checkedRevision != m_suspects.revision()) {
         return m_clock.now();
     }
     return m_readCall || m_writeCall ? std::nullopt : m_nextRead;
 }
 
-void CrashSuspectStore::accept(const CrashWitnessed &witnessed)
+void CrashSuspectStore::accept(const CrashObserved &observed)
 {
-    for (const std::uint64_t fingerprint : witnessed.fingerprints) {
-        if (m_witnessed.size() < CrashSuspectSet::MaximumEntries) {
-            m_witnessed.insert(fingerprint);
+    for (const std::uint64_t fingerprint : observed.fingerprints) {
+        if (m_observed.size() < CrashSuspectSet::MaximumEntries) {
+            m_observed.insert(fingerprint);
         }
     }
     m_checkedRevision = 0;
@@ -94,7 +94,7 @@
         m_backoff.reset();
         return;
     }
-    // Another proxy has written, or nobody knows whether this write took effect: the next read tells.
+    // Another proxy wrote first, or the outcome is unknown; the next read resolves it.
     m_stored.clear();
     retry();
 }
@@ -120,7 +120,7 @@
 std::vector<CrashSuspectEntry> CrashSuspectStore::missingEntries() const
 {
     std::vector<CrashSuspectEntry> missing;
-    for (const std::uint64_t fingerprint : m_witnessed) {
+    for (const std::uint64_t fingerprint : m_observed) {
         const std::optional<CrashSuspectEntry> known = m_suspects.find(fingerprint);
         const auto stored = m_stored.find(fingerprint);
         const bool isStored = stored != m_stored.end();
--- a/Libraries/LibMembership/CrashSuspectStore.h
+++ b/Libraries/LibMembership/CrashSuspectStore.h
@@ -28,7 +28,7 @@
 };
 
 /// Keeps crash suspects in a row of the platform, so that they outlast a failure of every proxy. The row lies beside the
-/// contacts, which a starting proxy scans anyway. The proxies that have witnessed a crash write it, with one conditional
+/// contacts, which a starting proxy scans anyway. The proxies that have observed a crash write it, with one conditional
 /// write for each change.
 class CrashSuspectStore
 {
@@ -41,13 +41,13 @@
     std::optional<TimePoint> nextDeadline() const;
 
 private:
-    void accept(const CrashWitnessed &witnessed);
+    void accept(const CrashObserved &observed);
     void accept(const CrashSuspectRow &found);
     void accept(const PlatformReply &reply);
     void acceptRead(const PlatformResponse &response);
     void acceptWrite(const PlatformResponse &response);
     void learn(const Row &row);
-    /// Entries that this proxy has to see to and that the row lacks.
+    /// Entries of observed crashes that the row does not contain yet.
     std::vector<CrashSuspectEntry> missingEntries() const;
     void write();
     void retry();
@@ -58,8 +58,8 @@
     const Clock &m_clock;
     Random &m_random;
     Backoff m_backoff;
-    /// Requests whose crashes this proxy has witnessed.
-    std::set<std::uint64_t> m_witnessed;
+    /// Requests whose crashes this proxy has observed.
+    std::set<std::uint64_t> m_observed;
     /// What the row held when it was last read or written.
     std::map<std::uint64_t, CrashSuspectEntry> m_stored;
     std::uint64_t m_rowRevision = 0;
--- a/Libraries/LibMembership/CrashSuspectStoreMessages.h
+++ b/Libraries/LibMembership/CrashSuspectStoreMessages.h
@@ -11,7 +11,7 @@
 namespace Fuchsiastep {
 
 /// The upstream beside this proxy crashed while these requests were in flight.
-struct CrashWitnessed
+struct CrashObserved
 {
     std::vector<std::uint64_t> fingerprints;
 };
@@ -22,7 +22,7 @@
     Row row;
 };
 
-using CrashSuspectStoreInput = std::variant<CrashWitnessed, CrashSuspectRow, PlatformReply>;
+using CrashSuspectStoreInput = std::variant<CrashObserved, CrashSuspectRow, PlatformReply>;
 
 /// The row cannot be read; the next write replaces it.
 struct StoredCrashSuspectsRejected
--- a/Libraries/LibMembership/CrashSuspectSync.cpp
+++ b/Libraries/LibMembership/CrashSuspectSync.cpp
@@ -107,7 +107,7 @@
 void CrashSuspectSync::choosePeer(const std::string &dataCentre, Link &link)
 {
     const MemberRecord *current = m_table.find(link.peer);
-    // A bridge that has restarted knows only what its neighbours still know, which is nothing after a failure of all.
+    // A restarted bridge has lost its entries, and its neighbours as well where they failed together.
     if (current != nullptr && memberStateInfo(current->state).isLive && current->incarnation == link.incarnation) {
         return;
     }
--- a/Libraries/LibMembership/CrashSuspectSync.h
+++ b/Libraries/LibMembership/CrashSuspectSync.h
@@ -18,7 +18,7 @@
 {
     /// Time for a bridge of another data centre to acknowledge; then another one is tried.
     Duration ackTimeout = std::chrono::milliseconds(500);
-    /// Time between two looks for data centres that are new, or whose bridge has restarted.
+    /// Time between two checks for new data centres and restarted bridges.
     Duration checkPeriod = std::chrono::seconds(1);
 };
 
--- a/Libraries/LibMembership/FailureDetector.cpp
+++ b/Libraries/LibMembership/FailureDetector.cpp
@@ -273,7 +273,7 @@
     return true;
 }
 
-/// Tells the bridges, which pass news on to other data centres, and some other members.
+/// Sends queued gossip to the bridges, which forward crash suspects to other data centres, and to some other members.
 void FailureDetector::spreadAtOnce()
 {
     for (const MemberRecord *bridge : rendezvousMembers(m_table, m_table.self().dataCentre, BridgeRoleName, RoleHolders)) {
--- a/Libraries/LibMembership/MergeCrashSuspects.h
+++ b/Libraries/LibMembership/MergeCrashSuspects.h
@@ -10,7 +10,7 @@
 struct MergeCrashSuspects
 {
     std::vector<CrashSuspectEntry> entries;
-    /// The data centre may not know them yet, so that they are passed on at once.
+    /// Gossip them at once, because they come from another data centre.
     bool mustSpread = false;
 };
 
--- a/Libraries/LibPlatform/PlatformClient.cpp
+++ b/Libraries/LibPlatform/PlatformClient.cpp
@@ -246,7 +246,7 @@
     }
     call.content.append(chunk, size);
     if (call.client != nullptr && call.content.size() > call.client->m_settings.maximumAnswerBytes) {
-        // What is left of the answer ends with its connection.
+        // This closes the connection, so that the rest is not read.
         g_cancellable_cancel(call.cancellable);
         answered(call, "the answer is too long");
         return;
--- a/Libraries/LibProxy/MembershipTask.cpp
+++ b/Libraries/LibProxy/MembershipTask.cpp
@@ -109,9 +109,9 @@
     run(m_detector.handle(record));
 }
 
-void MembershipTask::handle(const CrashWitnessed &witnessed)
+void MembershipTask::handle(const CrashObserved &observed)
 {
-    run(m_suspectStore.handle(witnessed));
+    run(m_suspectStore.handle(observed));
 }
 
 void MembershipTask::handle(const CrashSuspectStoreReply &answer)
--- a/Libraries/LibProxy/MembershipTask.h
+++ b/Libraries/LibProxy/MembershipTask.h
@@ -31,7 +31,7 @@
     OwnRecordChanged,
     LeaveRequested,
     CrashSuspectRecorded,
-    CrashWitnessed,
+    CrashObserved,
     StatusWanted>;
 
 /// Upstreams that came, changed or went.
@@ -80,7 +80,7 @@
     void handle(const OwnRecordChanged &change);
     void handle(const LeaveRequested &request);
     void handle(const CrashSuspectRecorded &record);
-    void handle(const CrashWitnessed &witnessed);
+    void handle(const CrashObserved &observed);
     void handle(const CrashSuspectStoreReply &answer);
     void handle(const StatusWanted &wanted);
 
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -163,7 +163,7 @@
 {
     std::visit(Overloaded {
                    [this](const RequestsDrained &) { leave(); },
-                   [this](const CrashWitnessed &witnessed) { m_membership->post(witnessed); },
+                   [this](const CrashObserved &observed) { m_membership->post(observed); },
                    [this](const SuspectsChanged &changed) {
                        for (const CrashSuspectEntry &entry : changed.entries) {
                            m_membership->post(CrashSuspectRecorded {entry});
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -446,7 +446,7 @@
                                    {"in_flight", report.fingerprints.size()},
                                    {"fingerprints", joined(report.fingerprints)},
                                    {"alone", report.wasAlone}});
-                           m_onEvent(CrashWitnessed {report.fingerprints});
+                           m_onEvent(CrashObserved {report.fingerprints});
                        },
                    },
             output);
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -104,7 +104,7 @@
     std::vector<CrashSuspectEntry> entries;
 };
 
-using RequestTaskEvent = std::variant<RequestsDrained, SuspectsChanged, CrashWitnessed>;
+using RequestTaskEvent = std::variant<RequestsDrained, SuspectsChanged, CrashObserved>;
 
 /// Carries requests: it owns the callers' HTTP server, the client of the upstream beside the proxy, and the decision
 /// objects of both sides. Requests between proxies go through PeerLinks.
--- a/Libraries/LibProxy/UpstreamClient.cpp
+++ b/Libraries/LibProxy/UpstreamClient.cpp
@@ -83,7 +83,7 @@
 UpstreamClient::Connection *UpstreamClient::idleConnection(const RequestFrame &request)
 {
     if (m_protocol.doAnswersNameRequests && request.traceId.empty()) {
-        // Its answer names nothing.
+        // Its answer could not be distinguished from an earlier one.
         return nullptr;
     }
     const TimePoint now = m_clock.now();
--- a/Libraries/LibRouting/CrashSuspects.cpp
+++ b/Libraries/LibRouting/CrashSuspects.cpp
@@ -5,7 +5,7 @@
 
 namespace Fuchsiastep {
 
-/// Crashes kept to tell a burst from a single cause; more would say the same.
+/// Recent crashes that are kept to distinguish a burst from a single cause.
 static constexpr std::size_t MaximumRecentCrashes = 64;
 
 CrashSuspects::CrashSuspects(const Settings &settings, const Clock &clock) : m_settings(settings), m_clock(clock)
--- a/Libraries/LibRouting/CrashSuspects.h
+++ b/Libraries/LibRouting/CrashSuspects.h
@@ -43,7 +43,7 @@
     bool mustRunAlone(std::uint64_t fingerprint) const;
     /// True while the request is answered as not run without being tried.
     bool isHeldOff(std::uint64_t fingerprint) const;
-    /// How long the request is held off from now on; 0 where it is not.
+    /// Remaining hold-off of the request; 0 where it is not held off.
     Duration holdOffLeft(std::uint64_t fingerprint) const;
     /// No request is suspected; callers may skip computing fingerprints.
     bool isEmpty() const;
--- a/Tests/LibMembership/Cluster.h
+++ b/Tests/LibMembership/Cluster.h
@@ -189,7 +189,7 @@
     {
         nodes[index].suspects.insert(entry.fingerprint);
         drain(index, nodes[index].proxy->detector.handle(CrashSuspectRecorded {entry}));
-        drainStore(index, nodes[index].proxy->suspectStore.handle(CrashWitnessed {{entry.fingerprint}}));
+        drainStore(index, nodes[index].proxy->suspectStore.handle(CrashObserved {{entry.fingerprint}}));
         settle(index);
     }
     bool allSuspect(std::uint64_t fingerprint) const
--- a/Tests/LibMembership/TestCrashSuspectStore.cpp
+++ b/Tests/LibMembership/TestCrashSuspectStore.cpp
@@ -47,11 +47,11 @@
             step(proxy);
         }
 
-        void witness(std::size_t index, const CrashSuspectEntry &entry)
+        void observe(std::size_t index, const CrashSuspectEntry &entry)
         {
             Proxy &proxy = *proxies[index];
             proxy.suspects.merge(entry);
-            run(proxy, proxy.store.handle(CrashWitnessed {{entry.fingerprint}}));
+            run(proxy, proxy.store.handle(CrashObserved {{entry.fingerprint}}));
         }
 
         void step(Proxy &proxy)
@@ -127,7 +127,7 @@
             world.lostProbability = 0.2;
             // Each proxy sees two crashes of each request, so that it has to write each of them.
             for (std::uint64_t crash = 0; crash < 12; ++crash) {
-                world.witness(crash % 6, {1 + world.random.below(2), {{2 * crash}, {2 * crash + 1}}});
+                world.observe(crash % 6, {1 + world.random.below(2), {{2 * crash}, {2 * crash + 1}}});
                 world.pass(world.random.jitter(milliseconds(300)));
             }
             world.pass(seconds(20));
@@ -136,10 +136,10 @@
             world.start();
             world.pass(seconds(2));
             for (const auto &proxy : world.proxies) {
-                for (const CrashSuspectEntry &witnessed : proxy->suspects.entries()) {
-                    const auto known = world.proxies.back()->suspects.find(witnessed.fingerprint);
+                for (const CrashSuspectEntry &observed : proxy->suspects.entries()) {
+                    const auto known = world.proxies.back()->suspects.find(observed.fingerprint);
                     CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), known.has_value());
-                    CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), mergedCrashSuspect(*known, witnessed).hasSameCrashes(*known));
+                    CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), mergedCrashSuspect(*known, observed).hasSameCrashes(*known));
                 }
             }
         }
@@ -155,7 +155,7 @@
             world.start();
             world.pass(seconds(2));
             CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.rejected);
-            world.witness(0, {7, {{1}, {2}}});
+            world.observe(0, {7, {{1}, {2}}});
             world.pass(seconds(2));
             world.start();
             world.pass(seconds(2));
@@ -169,10 +169,10 @@
         World world(1);
         world.start();
         world.pass(std::chrono::minutes(10));
-        world.witness(0, {7, {{1}}});
+        world.observe(0, {7, {{1}}});
         world.pass(std::chrono::minutes(1));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), world.calls);
-        world.witness(0, {7, {{2}}});
+        world.observe(0, {7, {{2}}});
         world.pass(std::chrono::minutes(1));
         // One read and one write.
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.calls);
--- a/Tests/LibRequest/TestRequestCoordinator.cpp
+++ b/Tests/LibRequest/TestRequestCoordinator.cpp
@@ -332,7 +332,7 @@
                 CPPUNIT_ASSERT(fixture.sent.back().frame.isIsolated);
                 upstreams.insert(fixture.sent.back().frame.upstreamId);
                 fixture.answer(RequestOutcome::NotRun, isBusy ? ErrorCode::UpstreamBusy : ErrorCode::NoUpstream);
-                // Another trial may be running where it is busy; only an upstream that is gone is replaced.
+                // Another run in isolation may keep it busy; only an upstream that is gone is replaced.
                 CPPUNIT_ASSERT_EQUAL(std::size_t(isBusy ? 1 : 2), fixture.sent.size());
                 CPPUNIT_ASSERT_EQUAL(std::size_t(isBusy ? 1 : 0), fixture.told.size());
                 if (!isBusy) {
--- a/Tests/Processes/TestOddEntries.cpp
+++ b/Tests/Processes/TestMalformedInput.cpp
@@ -17,15 +17,15 @@
 
 } // namespace
 
-class TestOddEntries : public CppUnit::TestFixture
+class TestMalformedInput : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(TestOddEntries);
-    CPPUNIT_TEST(proxyOutlivesOddBodies);
+    CPPUNIT_TEST_SUITE(TestMalformedInput);
+    CPPUNIT_TEST(proxySurvivesMalformedBodies);
     CPPUNIT_TEST_SUITE_END();
 
-    /// Guards against a proxy that ends, or stops following changes, because of one body that no upstream or operator would
-    /// send: nested very deeply, or with a number or a port out of range.
-    void proxyOutlivesOddBodies()
+    /// Guards against a proxy that crashes, or stops following changes, because of one malformed body: nested very deeply, or
+    /// with a number or a port out of range.
+    void proxySurvivesMalformedBodies()
     {
         constexpr std::size_t Proxies = 3;
         LabSession lab(testPlan(2), testOptions(Proxies));
@@ -57,4 +57,4 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(TestOddEntries);
+CPPUNIT_TEST_SUITE_REGISTRATION(TestMalformedInput);
