--- a/Tests/Support/ScriptedUpstream.h
+++ b/Tests/Support/ScriptedUpstream.h
@@ -19,6 +19,8 @@
         std::string bytes;
         /// Written again and again after the bytes, until the proxy closes the connection.
         std::string endless = {};
+        /// The connection ends in order after the bytes.
+        bool isLast = false;
     };
     /// \a connection counts the connections from 0, \a request the requests of the connection.
     using Script = std::function<Reply(std::size_t connection, std::size_t request)>;
@@ -97,6 +99,9 @@
             Reply reply = m_script(index, connection.requests++);
             connection.endless = std::move(reply.endless);
             connection.stream->send(std::move(reply.bytes));
+            if (reply.isLast) {
+                connection.stream->finishSending();
+            }
         }
     }
 
--- a/Tests/platform/TestUpstreamAnswers.cpp
+++ b/Tests/platform/TestUpstreamAnswers.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(testRefusedRequestTakesAnotherConnection);
     CPPUNIT_TEST(testRefusalsWithoutIdsEndTheConnection);
     CPPUNIT_TEST(testAnswersWithoutEnd);
+    CPPUNIT_TEST(testAnswersThatEndEarly);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t MaximumAnswerBytes = 4ULL * 1024 * 1024;
@@ -185,6 +186,51 @@
             CPPUNIT_ASSERT_MESSAGE(item.name, fixture.upstream.bytesWritten() < 6 * MaximumAnswerBytes);
         }
     }
+
+    // Guards against a whole answer with an empty or short body where the upstream ends the connection inside the head, or
+    // inside a body whose length it has told: after every byte of each kind of framing, on both protocols.
+    void testAnswersThatEndEarly()
+    {
+        const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n";
+        struct Case
+        {
+            std::string name;
+            std::string whole;
+            /// The shortest prefix that is a whole answer.
+            std::size_t wholeBytes;
+            std::string body;
+        };
+        const auto untilTheEnd = [](std::string name, const std::string &text, std::string body) {
+            return Case {std::move(name), text, text.size(), std::move(body)};
+        };
+        const std::string unframed = start + "\r\n";
+        const std::vector<Case> cases {
+            untilTheEnd("length", start + "Content-Length: 12\r\n\r\ntwelve bytes", "twelve bytes"),
+            untilTheEnd("empty body", start + "Content-Length: 0\r\n\r\n", ""),
+            untilTheEnd("chunks", start + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "body"),
+            untilTheEnd("behind an interim answer", "HTTP/1.1 100 Continue\r\n\r\n" + start + "Content-Length: 4\r\n\r\nbody", "body"),
+            untilTheEnd("failure", "HTTP/1.1 500 X\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\nbody", "body"),
+            // Its body has every length up to the end of the connection.
+            {"no length", unframed + "body", unframed.size(), "body"},
+        };
+        for (const EdgeKind kind : {EdgeKind::Platform, EdgeKind::Native}) {
+            for (const Case &item : cases) {
+                for (std::size_t bytes = 0; bytes <= item.whole.size(); ++bytes) {
+                    const std::string sent = item.whole.substr(0, bytes);
+                    Fixture fixture([&](std::size_t, std::size_t) { return ScriptedUpstream::Reply {sent, {}, true}; }, kind);
+                    fixture.run("r1");
+                    const auto *failed = std::get_if<UpstreamRequestFailed>(&fixture.last.value());
+                    const std::string where = item.name + ", " + std::to_string(bytes) + " bytes of: " + item.whole;
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(where, bytes < item.wholeBytes, failed != nullptr);
+                    CPPUNIT_ASSERT_MESSAGE(where, failed == nullptr || failed->mayHaveRun);
+                    if (failed == nullptr) {
+                        const std::size_t missing = item.whole.size() - bytes;
+                        CPPUNIT_ASSERT_EQUAL_MESSAGE(where, item.body.substr(0, item.body.size() - missing), fixture.answered().body);
+                    }
+                }
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestUpstreamAnswers);
