Answer every request that was read before a connection closes at a drain

What callers saw: at a planned stop, requests that were sent on a connection behind another one were passed on to an upstream and then cut without an answer. Cause: once HttpServer was closing, the answer to the first request of a connection was its last one. Requests behind it had been opened already, and were abandoned after they were passed on. Change: the answer to the last request that was read ends the connection, and while the server closes no further request of a connection is opened behind an open one. Its client sends that one again. Result: testClosingAnswersWhatWasRead and testClosingServesIdleConnectionsOnce fail before (the first answer closes; a request behind the last answer is opened) and pass after.

--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -101,10 +101,18 @@
     parse(connection);
 }
 
+bool HttpServer::mayOpenNext(const Connection &connection) const
+{
+    // A request behind the last answer of its connection gets none, so that none is opened that could end up there. Its
+    // client sends it again elsewhere.
+    const std::size_t maximum = m_isClosing ? 1 : MaximumPipelined;
+    return !connection.isReadingDone && connection.exchanges.size() < maximum;
+}
+
 void HttpServer::parse(Connection &connection)
 {
     const std::uint64_t id = connection.id;
-    while (!connection.isReadingDone && connection.exchanges.size() < MaximumPipelined) {
+    while (mayOpenNext(connection)) {
         Result<std::optional<HttpMessage>> next = connection.parser.tryNext();
         if (isError(next)) {
             reject(connection, errorOf(next).code);
@@ -190,7 +198,7 @@
     while (!connection.exchanges.empty() && connection.exchanges.front().answer && connection.stream->bytesQueued() == 0
         && !connection.closesAt) {
         Exchange &exchange = connection.exchanges.front();
-        const bool isLast = exchange.isLast || m_isClosing;
+        const bool isLast = exchange.isLast || (m_isClosing && connection.exchanges.size() == 1);
         exchange.answer->isLast = isLast;
         connection.stream->send(serializeResponse(*exchange.answer, exchange.isHead));
         if (isLast) {
@@ -201,14 +209,6 @@
         m_connectionOfToken.erase(exchange.token);
         connection.exchanges.pop_front();
     }
-    if (connection.closesAt && !connection.exchanges.empty()) {
-        // Requests behind the last answer get none; their client sends them again on another connection.
-        for (const Exchange &exchange : std::exchange(connection.exchanges, {})) {
-            m_connectionOfToken.erase(exchange.token);
-            m_onEvent(HttpRequestAbandoned {exchange.token});
-        }
-        return;
-    }
     if (openBefore == MaximumPipelined && connection.exchanges.size() < MaximumPipelined) {
         parse(connection);
     }
--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -83,7 +83,8 @@
     /// Requests that have no answer yet, or whose answer is still being written.
     std::size_t requestsOpen() const;
 
-    /// Each further answer is the last one on its connection. New connections are still accepted.
+    /// Connections end with the answer to the last request that was read on them; idle ones stay open for one more.
+    /// New connections are still accepted.
     void startClosing();
 
 private:
@@ -92,6 +93,7 @@
 
     void accept(GSocket *socket);
     void receive(Connection &connection, std::string_view bytes);
+    bool mayOpenNext(const Connection &connection) const;
     void parse(Connection &connection);
     void open(Connection &connection, HttpMessage message, ErrorCode rejection);
     void writeAnswers(Connection &connection);
--- a/Tests/LibProxy/TestHttpServer.cpp
+++ b/Tests/LibProxy/TestHttpServer.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(testAbandonedRequestIsReported);
     CPPUNIT_TEST(testClosedConnectionsAreFreed);
     CPPUNIT_TEST(testPipelinedRequestIsServed);
+    CPPUNIT_TEST(testClosingAnswersWhatWasRead);
+    CPPUNIT_TEST(testClosingServesIdleConnectionsOnce);
     CPPUNIT_TEST(testMalformedHttpStopsNoOtherRequest);
     CPPUNIT_TEST(testAnswersGoToTheirOwnRequest);
     CPPUNIT_TEST(testHerdOfClientsConnects);
@@ -192,6 +194,45 @@
         CPPUNIT_ASSERT(m_abandoned.empty());
     }
 
+    // Guards against requests that are cut without an answer after they were passed on, because the answer to an earlier
+    // request of their connection is the last one there.
+    void testClosingAnswersWhatWasRead()
+    {
+        RawClient client(m_server->address());
+        client.send("GET /first HTTP/1.1\r\nHost: x\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n\r\n");
+        CPPUNIT_ASSERT(waitForRequests(2));
+        m_server->startClosing();
+        client.send("GET /crosses-the-close HTTP/1.1\r\nHost: x\r\n\r\n");
+        m_server->answer({m_requests[0].token, 200, {}, "first;"});
+        CPPUNIT_ASSERT(client.receive("first;"));
+        CPPUNIT_ASSERT(client.received.find("connection: close") == std::string::npos);
+        m_server->answer({m_requests[1].token, 200, {}, "second;"});
+        CPPUNIT_ASSERT(client.receive("second;"));
+        CPPUNIT_ASSERT(client.received.find("connection: close") != std::string::npos);
+        CPPUNIT_ASSERT(client.waitForClose());
+        CPPUNIT_ASSERT(m_abandoned.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, m_requests.size());
+    }
+
+    // Guards against a close that crosses the next request of an idle connection.
+    void testClosingServesIdleConnectionsOnce()
+    {
+        RawClient client(m_server->address());
+        client.send("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+        CPPUNIT_ASSERT(waitForRequests(1));
+        m_server->answer({m_requests[0].token, 200, {}, "first;"});
+        CPPUNIT_ASSERT(client.receive("first;"));
+        m_server->startClosing();
+        client.send("GET /second HTTP/1.1\r\nHost: x\r\n\r\nGET /behind HTTP/1.1\r\nHost: x\r\n\r\n");
+        CPPUNIT_ASSERT(waitForRequests(2));
+        m_server->answer({m_requests[1].token, 200, {}, "second;"});
+        CPPUNIT_ASSERT(client.receive("second;"));
+        CPPUNIT_ASSERT(client.received.find("connection: close") != std::string::npos);
+        CPPUNIT_ASSERT(client.waitForClose());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, m_requests.size());
+        CPPUNIT_ASSERT(m_abandoned.empty());
+    }
+
     // Guards against one client that stops the server for the others.
     void testMalformedHttpStopsNoOtherRequest()
     {
