Take only what a leaving proxy can finish, and answer the rest at the end of the drain

What callers saw: requests that ran when a planned stop reached the end of its drain were cut without an answer, among them orders. On the users' platform the drain ended after 5 s whatever grace the deployment gives (6 or 10 s). Cause: calls were taken until the linger time was over, however long they could last; the drain time had no effect on their deadlines, so that the process ended with them open. The calls that a run still makes were refused after the linger time, which fails the run. No request lasts beyond the end of the drain on either side, so that each is told its outcome. limits.grace_s derives the drain time from the grace of the platform.

--- a/Libraries/LibLab/DeploymentPlan.h
+++ b/Libraries/LibLab/DeploymentPlan.h
@@ -16,9 +16,10 @@
     std::string region;
     std::vector<std::string> dataCentres;
     std::vector<ServicePlan> services;
-    /// The objects "distribution" and "membership" of the settings of fuchsiastepd.
+    /// The objects "distribution", "membership" and "limits" of the settings of fuchsiastepd.
     JsonValue::Object distribution;
     JsonValue::Object membership;
+    JsonValue::Object limits;
 
     /// Reads and checks {"name","region","data_centres":[...],"services":[{"name","upstreams","slots","connections",
     /// "service_time_ms","cold_start_ms","labels"}],"distribution":{...},"membership":{...}}. Fails with the first
--- a/Libraries/LibLab/Fleet.cpp
+++ b/Libraries/LibLab/Fleet.cpp
@@ -149,6 +149,7 @@
         {"seeds", seedsFor(instance)},
         {"distribution", m_plan.distribution},
         {"membership", m_plan.membership},
+        {"limits", m_plan.limits},
     };
     std::ofstream(m_folder.pathOf(instance.proxyId + ".json")) << settings.toText(true);
 }
--- a/Libraries/LibProxy/ProxySettings.cpp
+++ b/Libraries/LibProxy/ProxySettings.cpp
@@ -210,6 +210,7 @@
     {
         constexpr std::int64_t MaximumRequestBodyBytes = 1000 * 1024; // A request travels in one frame of 1 MiB with its headers.
         constexpr std::int64_t MaximumAnswerBodyBytes = 256 * 1024 * 1024;
+        constexpr double MaximumGraceSeconds = 600;
         const JsonValue *value = parent.optionalValue("limits");
         if (value == nullptr) {
             return;
@@ -225,6 +226,11 @@
         limits.queueTime = milliseconds(reader, "queue_ms", limits.queueTime, 0);
         limits.drainTime = milliseconds(reader, "drain_ms", limits.drainTime, 0);
         limits.lingerTime = milliseconds(reader, "linger_ms", limits.lingerTime, 0);
+        const double graceSeconds = reader.optionalNumber("grace_s", 0, 0, MaximumGraceSeconds);
+        if (graceSeconds > 0) {
+            limits.drainTime =
+                LimitSettings::drainTimeWithin(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(graceSeconds)));
+        }
         reader.finish();
     }
 
--- a/Libraries/LibProxy/ProxySettings.h
+++ b/Libraries/LibProxy/ProxySettings.h
@@ -81,6 +81,15 @@
     Duration drainTime = std::chrono::seconds(30);
     /// How long a draining proxy goes on taking calls, so that its callers have time to go elsewhere.
     Duration lingerTime {0};
+
+    /// The drain time of a process that is killed \a grace after it was told to end: what is left hands over the last
+    /// answers and takes leave of the fleet.
+    static Duration drainTimeWithin(Duration grace)
+    {
+        constexpr Duration LongestEnd = std::chrono::milliseconds(700);
+        constexpr int ShareOfGrace = 6;
+        return grace - std::min(LongestEnd, grace / ShareOfGrace);
+    }
 };
 
 /// The settings file of fuchsiastepd.
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -40,6 +40,7 @@
     , m_gate(gateSettings(settings.limits), m_routing.suspects, clock)
     , m_transfers(transferSettings(settings), clock)
     , m_ledger(ledgerSettings(settings, incarnation), clock, random)
+    , m_drain({settings.limits.lingerTime, settings.limits.drainTime}, clock)
     , m_upstreamClient(
           clock, protocol, settings.limits.answerBodyBytes, [this](UpstreamClientEvent event) { handleUpstream(std::move(event)); })
     , m_callers(settings.limits.requestBodyBytes, [this](HttpServerEvent event) { handleCallers(std::move(event)); })
@@ -148,15 +149,17 @@
 
 void RequestTask::handle(const DrainStarted &)
 {
-    m_isDraining = true;
-    m_lingersUntil = m_clock.now() + m_settings.limits.lingerTime;
+    m_drain.start();
     m_callers.startClosing();
-    run(m_gate.handle(DrainRequested {}));
+    run(m_coordinator.handle(DrainRequested {m_drain.endsAt()}));
+    run(m_gate.handle(DrainRequested {m_drain.endsAt()}));
 }
 
-bool RequestTask::isLingering() const
+bool RequestTask::mayTake(const Call &call, const RouteRules &rules) const
 {
-    return m_isDraining && m_clock.now() < m_lingersUntil;
+    const bool isOfOwnRun = m_upstream && call.caller == m_upstream->service && m_gate.running() > 0;
+    const Duration timeLeft = std::min(rules.timeout, call.timeLeft.value_or(rules.timeout));
+    return !m_isDrainReported && m_drain.mayTake(timeLeft, rules.targetLatency, isOfOwnRun);
 }
 
 void RequestTask::handle(const CallerLimitsChanged &change)
@@ -198,7 +201,7 @@
         {"retries", counts.retries},
         {"in_flight", static_cast<std::uint64_t>(m_coordinator.inFlight())},
     };
-    JsonValue::Object part {{"requests", std::move(requests)}, {"draining", m_isDraining}};
+    JsonValue::Object part {{"requests", std::move(requests)}, {"draining", m_drain.isDraining()}};
     wanted.reply(std::move(part));
 }
 
@@ -229,9 +232,8 @@
     }
     Call call = valueOf(std::move(parsed));
     m_calls[token].traceId = call.traceId;
-    const bool isDrained = m_isDraining && !isLingering();
-    if (isDrained || !m_isReady) {
-        refuseCall(token, {isDrained ? ErrorCode::Draining : ErrorCode::NotReady, m_settings.proxyId});
+    if (!m_isReady) {
+        refuseCall(token, {ErrorCode::NotReady, m_settings.proxyId});
         return;
     }
     const Result<std::shared_ptr<const Route>> route = tryResolve(call);
@@ -239,6 +241,10 @@
         refuseCall(token, errorOf(route));
         return;
     }
+    if (!mayTake(call, valueOf(route)->selector->rules)) {
+        refuseCall(token, {ErrorCode::Draining, m_settings.proxyId});
+        return;
+    }
     call.service = valueOf(route)->selector->service;
     m_calls[token].service = call.service;
     CallerRequest accepted;
@@ -530,9 +536,9 @@
     }
     updateGauges();
     std::optional<TimePoint> next = earliestDeadline({m_coordinator.nextDeadline(), m_gate.nextDeadline(), m_ledger.nextDeadline()});
-    if (m_isDraining && !m_isDrainReported) {
+    if (m_drain.isDraining() && !m_isDrainReported) {
         const bool isIdle = m_isGateDrained && m_ledger.isIdle() && m_coordinator.inFlight() == 0 && m_callers.requestsOpen() == 0
-            && !m_links.hasQueuedBytes() && m_transfers.isIdle() && !isLingering();
+            && !m_links.hasQueuedBytes() && m_transfers.isIdle() && !m_drain.isLingering();
         if (isIdle) {
             m_isDrainReported = true;
             m_onEvent(RequestsDrained {});
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -152,7 +152,7 @@
     void handleCallers(HttpServerEvent event);
     void startCall(HttpRequest request);
     Result<std::shared_ptr<const Route>> tryResolve(const Call &call);
-    bool isLingering() const;
+    bool mayTake(const Call &call, const RouteRules &rules) const;
     void receiveRequest(const PeerFrameReceived &received, const RequestFrame &frame);
     void refuseCall(std::uint64_t token, const Error &error);
     void finishCall(const CallerAnswer &answer);
@@ -178,9 +178,7 @@
 
     View::Pointer m_view = View::empty();
     bool m_isReady = false;
-    bool m_isDraining = false;
     bool m_isDrainReported = false;
-    TimePoint m_lingersUntil;
     WeightedSplit m_split;
     std::optional<UpstreamAnnouncement> m_upstream;
     bool m_isCrashCheckRunning = false;
@@ -195,6 +193,7 @@
     /// Of the requests from each connection.
     std::unordered_map<std::uint64_t, TransitDelay> m_transitDelays;
     ClaimLedger m_ledger;
+    DrainAdmission m_drain;
     bool m_isGateDrained = false;
 
     UpstreamClient m_upstreamClient;
--- a/Libraries/LibRequest/CoordinatorInput.h
+++ b/Libraries/LibRequest/CoordinatorInput.h
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/Route.h>
 #include <LibCore/LibCore.h>
+#include <LibRequest/DrainRequested.h>
 #include <LibWire/AnswerFrame.h>
 #include <LibWire/AnswerPartFrame.h>
 
@@ -75,6 +76,7 @@
     std::optional<std::uint64_t> connectionId;
 };
 
-using CoordinatorInput = std::variant<CallerRequest, CallerGone, PeerConnected, PeerAnswer, PeerConnectionLost, PeerConnectFailed>;
+using CoordinatorInput =
+    std::variant<CallerRequest, CallerGone, PeerConnected, PeerAnswer, PeerConnectionLost, PeerConnectFailed, DrainRequested>;
 
 } // namespace Fuchsiastep
--- a/Libraries/LibRequest/GateInput.h
+++ b/Libraries/LibRequest/GateInput.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibRequest/ClaimMessages.h>
+#include <LibRequest/DrainRequested.h>
 #include <LibWire/RequestFrame.h>
 
 #include <cstdint>
@@ -87,10 +88,6 @@
 struct UpstreamCrashed
 { };
 
-/// Take no new work, finish the rest and say when it is done.
-struct DrainRequested
-{ };
-
 /// The process was paused: new work is refused until FreezeRecovered.
 struct FreezeNoticed
 { };
--- a/Libraries/LibRequest/LibRequest.h
+++ b/Libraries/LibRequest/LibRequest.h
@@ -10,6 +10,8 @@
 #include <LibRequest/ClaimRecord.h>
 #include <LibRequest/CoordinatorInput.h>
 #include <LibRequest/CoordinatorOutput.h>
+#include <LibRequest/DrainAdmission.h>
+#include <LibRequest/DrainRequested.h>
 #include <LibRequest/GateInput.h>
 #include <LibRequest/GateOutput.h>
 #include <LibRequest/PriorityHeader.h>
--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -116,7 +116,7 @@
     Pending pending;
     pending.request = request;
     pending.isRepeatable = isRepeatable;
-    pending.deadline = m_clock.now() + std::min(rules.timeout, request.timeLeft.value_or(rules.timeout));
+    pending.deadline = std::min(m_latestDeadline, m_clock.now() + std::min(rules.timeout, request.timeLeft.value_or(rules.timeout)));
     if (hasTarget(rules)) {
         pending.targetAt = m_clock.now() + rules.targetLatency;
     }
@@ -230,6 +230,16 @@
     }
 }
 
+void RequestCoordinator::apply(const DrainRequested &drain)
+{
+    m_latestDeadline = drain.endsAt;
+    m_deadlines.clear();
+    for (auto &[token, pending] : m_pending) {
+        pending.deadline = std::min(pending.deadline, m_latestDeadline);
+        m_deadlines.emplace(pending.deadline, token);
+    }
+}
+
 std::optional<Error> RequestCoordinator::refusal(const CallerRequest &request, bool isRepeatable) const
 {
     if (request.body.size() > m_settings.maximumRequestBytes) {
--- a/Libraries/LibRequest/RequestCoordinator.h
+++ b/Libraries/LibRequest/RequestCoordinator.h
@@ -98,6 +98,7 @@
     void apply(const PeerAnswer &answer);
     void apply(const PeerConnectionLost &lost);
     void apply(const PeerConnectFailed &failed);
+    void apply(const DrainRequested &drain);
 
     std::optional<Error> refusal(const CallerRequest &request, bool isRepeatable) const;
     void dispatch(CallerToken token);
@@ -141,6 +142,8 @@
     std::unordered_map<std::uint64_t, CallerToken> m_tries;
     std::unordered_map<std::string, std::set<std::uint64_t>> m_triesByProxy;
     std::set<std::pair<TimePoint, CallerToken>> m_deadlines;
+    /// End of the drain; no request lasts longer.
+    TimePoint m_latestDeadline = TimePoint::max();
     /// Current connection and incarnation by proxy.
     std::unordered_map<std::string, std::pair<std::uint64_t, std::uint64_t>> m_connections;
     /// The request that runs in isolation, by fingerprint, and those like it that wait for its end.
--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -298,10 +298,16 @@
     return report;
 }
 
-void UpstreamGate::apply(const DrainRequested & /*drain*/)
+void UpstreamGate::apply(const DrainRequested &drain)
 {
     m_isDraining = true;
     releaseWaiting(ErrorCode::Draining, "the upstream is draining");
+    for (auto &[localId, entry] : m_entries) {
+        if (entry.wakeAt) {
+            entry.deadline = std::min(entry.deadline, drain.endsAt);
+            setWake(localId, entry, entry.deadline);
+        }
+    }
 }
 
 void UpstreamGate::apply(const ClaimSettled &settled)
--- a/Tests/LibProxy/TestProxySettings.cpp
+++ b/Tests/LibProxy/TestProxySettings.cpp
@@ -10,6 +10,7 @@
 {
     CPPUNIT_TEST_SUITE(TestProxySettings);
     CPPUNIT_TEST(testCompleteSettings);
+    CPPUNIT_TEST(testDrainEndsWithinTheGrace);
     CPPUNIT_TEST(testEveryWrongFieldIsNamed);
     CPPUNIT_TEST(testAllErrorsAreReportedTogether);
     CPPUNIT_TEST(testUnreadableFile);
@@ -46,6 +47,30 @@
         CPPUNIT_ASSERT(settings.logLevel == LogLevel::Warning);
     }
 
+    // Guards against a drain that is still under way when the platform kills the process, and against one that ends long
+    // before: both cut requests that had time left.
+    void testDrainEndsWithinTheGrace()
+    {
+        struct Case
+        {
+            std::string limits;
+            int drainMs;
+        };
+        const std::vector<Case> cases {
+            {R"("limits":{"grace_s":6,"drain_ms":1000})", 5300},
+            {R"("limits":{"grace_s":10})", 9300},
+            {R"("limits":{"grace_s":1.5})", 1250},
+            {R"("limits":{"grace_s":0,"drain_ms":1000})", 1000},
+            {R"("limits":{})", 30'000},
+        };
+        for (const Case &item : cases) {
+            std::vector<Error> errors;
+            const Result<ProxySettings> parsed = ProxySettings::tryParse(complete(item.limits), errors);
+            CPPUNIT_ASSERT_MESSAGE(item.limits, !isError(parsed));
+            CPPUNIT_ASSERT_MESSAGE(item.limits, valueOf(parsed).limits.drainTime == std::chrono::milliseconds(item.drainMs));
+        }
+    }
+
     // Guards against wrong settings that a proxy starts with, and against errors that do not say where they are.
     void testEveryWrongFieldIsNamed()
     {
@@ -106,6 +131,9 @@
             {complete(R"("limits":{"requests_in_flight":0})"), ErrorCode::SettingsOutOfRange, "$.limits.requests_in_flight"},
             {complete(R"("limits":{"queue_per_slot":1001})"), ErrorCode::SettingsOutOfRange, "$.limits.queue_per_slot"},
             {complete(R"("limits":{"drain_ms":true})"), ErrorCode::SettingsWrongType, "$.limits.drain_ms"},
+            {complete(R"("limits":{"grace_s":"6"})"), ErrorCode::SettingsWrongType, "$.limits.grace_s"},
+            {complete(R"("limits":{"grace_s":-1})"), ErrorCode::SettingsOutOfRange, "$.limits.grace_s"},
+            {complete(R"("limits":{"grace_s":601})"), ErrorCode::SettingsOutOfRange, "$.limits.grace_s"},
             {complete(R"("seeds":["127.0.0.1:1","x"])"), ErrorCode::SettingsOutOfRange, "$.seeds[1]"},
             {complete(R"("seeds":"127.0.0.1:1")"), ErrorCode::SettingsWrongType, "$.seeds"},
             {complete(R"("log_level":"loud")"), ErrorCode::SettingsOutOfRange, "$.log_level"},
