Read pipelined requests for the linger time of a drain

What callers saw: requests that were sent behind another one on a kept connection were cut and had to be sent again, at every planned stop. Cause: a closing connection ended with the answer to the first request that arrived on it. Change: pipelines are read for the linger time; the connection then ends with the answer to the last request on it.

--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -105,7 +105,7 @@
 {
     // A request behind the last answer of its connection gets none, so that none is opened that could end up there. Its
     // client sends it again elsewhere.
-    const std::size_t maximum = m_isClosing ? 1 : MaximumPipelined;
+    const std::size_t maximum = m_isClosing && m_clock.now() >= m_pipelinesUntil ? 1 : MaximumPipelined;
     return !connection.isReadingDone && connection.exchanges.size() < maximum;
 }
 
@@ -222,9 +222,10 @@
     return m_connectionOfToken.size() + static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), isWriting));
 }
 
-void HttpServer::startClosing()
+void HttpServer::startClosing(Duration pipelineTime)
 {
     m_isClosing = true;
+    m_pipelinesUntil = m_clock.now() + pipelineTime;
 }
 
 void HttpServer::abandon(std::uint64_t connectionId)
--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -83,9 +83,10 @@
     /// Requests that have no answer yet, or whose answer is still being written.
     std::size_t requestsOpen() const;
 
-    /// Connections end with the answer to the last request that was read on them; idle ones stay open for one more.
-    /// New connections are still accepted.
-    void startClosing();
+    /// Connections end with the answer to the last request that was read on them; idle ones stay open for the next one.
+    /// New connections are still accepted. Clients that send requests before they have their answers would keep a connection
+    /// open for good, so that after \a pipelineTime none is read behind an open one.
+    void startClosing(Duration pipelineTime);
 
 private:
     struct Exchange;
@@ -110,6 +111,7 @@
     std::uint64_t m_nextToken = 1;
     std::uint64_t m_nextConnectionId = 1;
     bool m_isClosing = false;
+    TimePoint m_pipelinesUntil;
     std::map<std::uint64_t, std::unique_ptr<Connection>> m_connections;
     /// Connection of each open request.
     std::map<std::uint64_t, std::uint64_t> m_connectionOfToken;
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -150,7 +150,7 @@
 void RequestTask::handle(const DrainStarted &)
 {
     m_drain.start();
-    m_callers.startClosing();
+    m_callers.startClosing(m_settings.limits.lingerTime);
     run(m_coordinator.handle(DrainRequested {m_drain.endsAt()}));
     run(m_gate.handle(DrainRequested {m_drain.endsAt()}));
 }
--- a/Tests/LibProxy/TestHttpServer.cpp
+++ b/Tests/LibProxy/TestHttpServer.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(testPipelinedRequestIsServed);
     CPPUNIT_TEST(testClosingAnswersWhatWasRead);
     CPPUNIT_TEST(testClosingServesIdleConnectionsOnce);
+    CPPUNIT_TEST(testClosingServesPipelinesForATime);
     CPPUNIT_TEST(testMalformedHttpStopsNoOtherRequest);
     CPPUNIT_TEST(testAnswersGoToTheirOwnRequest);
     CPPUNIT_TEST(testHerdOfClientsConnects);
@@ -201,7 +202,7 @@
         RawClient client(m_server->address());
         client.send("GET /first HTTP/1.1\r\nHost: x\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n\r\n");
         CPPUNIT_ASSERT(waitForRequests(2));
-        m_server->startClosing();
+        m_server->startClosing(Duration(0));
         client.send("GET /crosses-the-close HTTP/1.1\r\nHost: x\r\n\r\n");
         m_server->answer({m_requests[0].token, 200, {}, "first;"});
         CPPUNIT_ASSERT(client.receive("first;"));
@@ -222,7 +223,7 @@
         CPPUNIT_ASSERT(waitForRequests(1));
         m_server->answer({m_requests[0].token, 200, {}, "first;"});
         CPPUNIT_ASSERT(client.receive("first;"));
-        m_server->startClosing();
+        m_server->startClosing(Duration(0));
         client.send("GET /second HTTP/1.1\r\nHost: x\r\n\r\nGET /behind HTTP/1.1\r\nHost: x\r\n\r\n");
         CPPUNIT_ASSERT(waitForRequests(2));
         m_server->answer({m_requests[1].token, 200, {}, "second;"});
@@ -233,6 +234,27 @@
         CPPUNIT_ASSERT(m_abandoned.empty());
     }
 
+    // Guards against pipelined requests that have to be sent again although there is time to serve them.
+    void testClosingServesPipelinesForATime()
+    {
+        RawClient client(m_server->address());
+        client.send("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+        CPPUNIT_ASSERT(waitForRequests(1));
+        m_server->answer({m_requests[0].token, 200, {}, "first;"});
+        CPPUNIT_ASSERT(client.receive("first;"));
+        constexpr Duration LongerThanTheTest = std::chrono::seconds(60);
+        m_server->startClosing(LongerThanTheTest);
+        client.send("GET /second HTTP/1.1\r\nHost: x\r\n\r\nGET /third HTTP/1.1\r\nHost: x\r\n\r\n");
+        CPPUNIT_ASSERT(waitForRequests(3));
+        m_server->answer({m_requests[1].token, 200, {}, "second;"});
+        CPPUNIT_ASSERT(client.receive("second;"));
+        CPPUNIT_ASSERT(client.received.find("connection: close") == std::string::npos);
+        m_server->answer({m_requests[2].token, 200, {}, "third;"});
+        CPPUNIT_ASSERT(client.receive("third;"));
+        CPPUNIT_ASSERT(client.received.find("connection: close") != std::string::npos);
+        CPPUNIT_ASSERT(client.waitForClose());
+    }
+
     // Guards against one client that stops the server for the others.
     void testMalformedHttpStopsNoOtherRequest()
     {
