Say that a proxy is ready once it has joined its members

The log shows ProxyReady at 12.289 s and the first MemberJoined at 12.706 s. Cause: readiness followed the configuration alone; the scan for contacts waits up to 0.5 s so that a herd of starts is spread. Change: readiness also waits for JoinCompleted, 1.5 s at most. Requests of peers for the own upstream are served before it as they were.

--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -4,6 +4,8 @@
 
 /// Time for the leave message to spread before the sockets close.
 static constexpr Duration LeaveTime = std::chrono::milliseconds(300);
+/// A proxy that finds no member of its data centre within this time is the first one there, and says that it is ready.
+static constexpr Duration JoinTime = std::chrono::milliseconds(1500);
 static constexpr Duration IdleCheckInterval = std::chrono::seconds(30);
 
 ProxyRuntime::ProxyRuntime(ProxySettings settings, EdgeProtocol protocol, std::function<void()> onStopped)
@@ -20,6 +22,7 @@
                   leave();
               }
           })
+    , m_joinTimer(m_clock, [this] { endJoining(); })
     , m_idleTimer(m_clock, [this] {
         m_links->closeIdle();
         m_idleTimer.setDeadline(m_clock.now() + IdleCheckInterval);
@@ -120,6 +123,7 @@
         [this](const ConfigurationTaskEvent &event) { handleConfiguration(event); });
     m_membership->start();
     m_configuration->start();
+    m_joinTimer.setDeadline(m_clock.now() + JoinTime);
     m_idleTimer.setDeadline(m_clock.now() + IdleCheckInterval);
     return ProxyAddresses {m_requests->address(), m_operators->address(), valueOf(peers)};
 }
@@ -184,7 +188,7 @@
                    [this](const PeerVersion &version) { m_configuration->post(version); },
                    [this](const CrashSuspectLearned &learned) { m_requests->post(SuspectLearned {learned.entry}); },
                    [this](const FreezeDetected &freeze) { m_configuration->post(freeze); },
-                   [](const JoinCompleted &) {},
+                   [this](const JoinCompleted &) { endJoining(); },
                },
         event);
 }
@@ -198,7 +202,7 @@
                    [this](const ReadinessChanged &change) {
                        m_isReady = change.isReady;
                        m_requests->post(change);
-                       m_operators->post(ReadyChanged {m_isReady && !m_isDraining});
+                       tellReadiness();
                        publishOwnRecord();
                    },
                    [this](const VersionHeld &held) { m_membership->post(HeldVersionChanged {held.held}); },
@@ -206,6 +210,19 @@
         event);
 }
 
+void ProxyRuntime::endJoining()
+{
+    m_hasJoined = true;
+    tellReadiness();
+}
+
+void ProxyRuntime::tellReadiness()
+{
+    // Without its members a proxy knows no upstreams and would refuse the calls that its readiness attracts. Peers send it
+    // requests for its own upstream all the same.
+    m_operators->post(ReadyChanged {m_isReady && m_hasJoined && !m_isDraining});
+}
+
 void ProxyRuntime::handleOperators(OperatorTaskEvent event)
 {
     std::visit(Overloaded {
@@ -327,7 +344,7 @@
     }
     logEvent(LogEvent::DrainStarted);
     m_isDraining = true;
-    m_operators->post(ReadyChanged {false});
+    tellReadiness();
     m_requests->post(DrainStarted {});
     publishOwnRecord();
     m_drainTimer.setDeadline(m_clock.now() + m_settings.limits.drainTime);
--- a/Libraries/LibProxy/ProxyRuntime.h
+++ b/Libraries/LibProxy/ProxyRuntime.h
@@ -45,6 +45,8 @@
     void handleConfiguration(const ConfigurationTaskEvent &event);
     void handleOperators(OperatorTaskEvent event);
 
+    void endJoining();
+    void tellReadiness();
     void announce(const UpstreamAnnouncement &announcement);
     void publishOwnRecord();
     void collectStatus(const OperatorReplyHandler &reply);
@@ -60,6 +62,8 @@
     TimePoint m_startedAt;
     std::uint64_t m_incarnation;
     bool m_isReady = false;
+    /// The members are known, or there are none to learn from.
+    bool m_hasJoined = false;
     bool m_isDraining = false;
     bool m_hasLeft = false;
     /// What membership was told about the upstream beside this proxy.
@@ -73,6 +77,7 @@
     std::unique_ptr<RequestTask> m_requests;
     std::unique_ptr<OperatorTask> m_operators;
     Timer m_drainTimer;
+    Timer m_joinTimer;
     Timer m_idleTimer;
 };
 
--- a/Tests/Processes/TestVersions.cpp
+++ b/Tests/Processes/TestVersions.cpp
@@ -61,10 +61,31 @@
 {
     CPPUNIT_TEST_SUITE(TestVersions);
     CPPUNIT_TEST(restartWithoutPlatform);
+    CPPUNIT_TEST(readyProxyKnowsTheUpstreams);
     CPPUNIT_TEST(frozenReader);
     CPPUNIT_TEST(burstOfChanges);
     CPPUNIT_TEST_SUITE_END();
 
+    /// Guards against a restarted proxy that says that it is ready and refuses calls because it knows no upstreams yet.
+    void readyProxyKnowsTheUpstreams()
+    {
+        constexpr std::size_t WithoutUpstream = 2;
+        LabSession lab(testPlan(2), testOptions(3));
+        requireDone(lab.tryOpen());
+        for (int round = 0; round < 5; ++round) {
+            lab.fleet.signalProxies({WithoutUpstream}, SIGKILL);
+            requireDone(lab.fleet.tryStartProxies({WithoutUpstream}));
+            const auto isReady = [&lab] {
+                HttpCall question;
+                question.url = "http://" + lab.fleet.at(WithoutUpstream).control.toString() + "/ready";
+                return lab.client.http().fetch(std::move(question)).status == 200;
+            };
+            CPPUNIT_ASSERT_MESSAGE(withSeed("not ready"), runLoopUntil(isReady, Limit));
+            const HttpReply reply = lab.client.http().fetch(lab.client.callThrough(WithoutUpstream, "order-desk", "/lookup/1"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(withSeed("round " + std::to_string(round) + ": " + reply.body), 200U, reply.status);
+        }
+    }
+
     /// Guards against a restarted proxy that serves an older version, or none, while the platform is down and
     /// only its peers know the newest one.
     void restartWithoutPlatform()
