Resolve routes when they are asked for

Cause: each change of an endpoint resolved every route of its service again. The users' services have 1,200 routes and up to 148 upstreams, and a release, a roll or a start of the fleet changes endpoints several times for each instance: some 180,000 shared pointers copied for each change, in each proxy of the fleet, on 0.1 cores. Change: View resolves a route when it is first asked for, and a view keeps what a change leaves alone. The order of the selectors is kept across changes of endpoints.

--- a/Libraries/LibConfiguration/View.cpp
+++ b/Libraries/LibConfiguration/View.cpp
@@ -3,8 +3,10 @@
 #include <LibConfiguration/PersistentMap.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 
 namespace Fuchsiastep {
 
@@ -15,12 +17,22 @@
     PersistentMap<Endpoint> byUpstreamId;
 };
 
-/// The routes of one service in both orders that are asked for.
+/// An endpoint that may take work, and the labels that operators put on it.
+struct Candidate
+{
+    std::shared_ptr<const Endpoint> endpoint;
+    std::shared_ptr<const UpstreamLabels> declared;
+};
+
+/// What was resolved of one service so far. A service may have a thousand selectors and hundreds of endpoints, which change
+/// often while an instance is replaced or restarted, and a proxy uses few of the routes: resolving each of them at each
+/// change would take more of the processor than the requests.
 struct ServiceRoutes
 {
-    std::vector<std::shared_ptr<const Route>> byName;
-    /// The first one that matches a request wins.
-    std::vector<std::shared_ptr<const Route>> byPrecedence;
+    std::optional<std::vector<Candidate>> candidates;
+    std::unordered_map<std::string, std::shared_ptr<const Route>> bySelector;
+    /// The first one that matches a request wins. Depends on the configuration alone.
+    std::shared_ptr<const std::vector<std::shared_ptr<const Selector>>> byPrecedence;
 };
 
 } // namespace
@@ -30,7 +42,8 @@
     Configuration::Pointer configuration = Configuration::empty();
     PersistentMap<Endpoint> endpoints;
     PersistentMap<ServiceEndpoints> endpointsByService;
-    PersistentMap<ServiceRoutes> routes;
+    /// Filled as routes are asked for. Views share what a change between them leaves alone. All views are used by one thread.
+    mutable std::unordered_map<std::string, std::shared_ptr<ServiceRoutes>> resolved;
     std::shared_ptr<const HostRoutes> hostRoutes = std::make_shared<const HostRoutes>();
 };
 
@@ -50,13 +63,6 @@
     });
 }
 
-/// An endpoint that may take work, and the labels that operators put on it.
-struct Candidate
-{
-    std::shared_ptr<const Endpoint> endpoint;
-    std::shared_ptr<const UpstreamLabels> declared;
-};
-
 std::vector<Candidate> candidatesOf(const View::Content &content, const std::string &service)
 {
     std::vector<Candidate> candidates;
@@ -78,10 +84,10 @@
     return candidates;
 }
 
-bool precedes(const std::shared_ptr<const Route> &left, const std::shared_ptr<const Route> &right)
+bool precedes(const std::shared_ptr<const Selector> &left, const std::shared_ptr<const Selector> &right)
 {
-    const Selector &a = *left->selector;
-    const Selector &b = *right->selector;
+    const Selector &a = *left;
+    const Selector &b = *right;
     if (a.precedence != b.precedence) {
         return a.precedence > b.precedence;
     }
@@ -91,27 +97,57 @@
     return a.name < b.name;
 }
 
-void resolveService(View::Content &content, const std::string &service)
+ServiceRoutes &resolvedOf(const View::Content &content, const std::string &service)
 {
-    if (content.configuration->service(service) == nullptr) {
-        content.routes.remove(service);
-        return;
+    std::shared_ptr<ServiceRoutes> &routes = content.resolved[service];
+    if (routes == nullptr) {
+        routes = std::make_shared<ServiceRoutes>();
     }
-    const std::vector<Candidate> candidates = candidatesOf(content, service);
-    auto routes = std::make_shared<ServiceRoutes>();
-    for (const auto &selector : content.configuration->selectorsOf(service)) {
-        auto route = std::make_shared<Route>();
-        route->selector = selector;
-        for (const Candidate &candidate : candidates) {
-            if (matchesEndpoint(*selector, *candidate.endpoint, candidate.declared.get())) {
-                route->endpoints.push_back(candidate.endpoint);
-            }
+    return *routes;
+}
+
+const std::shared_ptr<const Route> &resolve(const View::Content &content, const std::shared_ptr<const Selector> &selector)
+{
+    ServiceRoutes &routes = resolvedOf(content, selector->service);
+    std::shared_ptr<const Route> &known = routes.bySelector[selector->name];
+    if (known != nullptr) {
+        return known;
+    }
+    if (!routes.candidates) {
+        routes.candidates = candidatesOf(content, selector->service);
+    }
+    auto route = std::make_shared<Route>();
+    route->selector = selector;
+    for (const Candidate &candidate : *routes.candidates) {
+        if (matchesEndpoint(*selector, *candidate.endpoint, candidate.declared.get())) {
+            route->endpoints.push_back(candidate.endpoint);
         }
-        routes->byName.push_back(std::move(route));
     }
-    routes->byPrecedence = routes->byName;
-    std::sort(routes->byPrecedence.begin(), routes->byPrecedence.end(), precedes);
-    content.routes.set(service, std::move(routes));
+    known = std::move(route);
+    return known;
+}
+
+const std::vector<std::shared_ptr<const Selector>> &selectorsByPrecedence(const View::Content &content, const std::string &service)
+{
+    ServiceRoutes &routes = resolvedOf(content, service);
+    if (routes.byPrecedence == nullptr) {
+        std::vector<std::shared_ptr<const Selector>> selectors = content.configuration->selectorsOf(service);
+        std::sort(selectors.begin(), selectors.end(), precedes);
+        routes.byPrecedence = std::make_shared<const std::vector<std::shared_ptr<const Selector>>>(std::move(selectors));
+    }
+    return *routes.byPrecedence;
+}
+
+/// Drops what was resolved with other endpoints. The order of the selectors stays.
+void forgetEndpoints(const View::Content &content, const std::string &service)
+{
+    const auto known = content.resolved.find(service);
+    if (known == content.resolved.end()) {
+        return;
+    }
+    auto routes = std::make_shared<ServiceRoutes>();
+    routes->byPrecedence = known->second->byPrecedence;
+    known->second = std::move(routes);
 }
 
 void removeEndpoint(View::Content &content, const std::string &upstreamId, std::set<std::string> &touched)
@@ -184,7 +220,7 @@
     auto content = std::make_shared<Content>(*m_content);
     content->configuration = std::move(configuration);
     content->configuration->forEachChangedService(
-        *m_content->configuration, [&](const std::string &service) { resolveService(*content, service); });
+        *m_content->configuration, [&](const std::string &service) { content->resolved.erase(service); });
     content->hostRoutes = HostRoutes::build(*content->configuration);
     return std::make_shared<const View>(std::move(content));
 }
@@ -200,7 +236,7 @@
         storeEndpoint(*content, endpoint, touched);
     }
     for (const std::string &service : touched) {
-        resolveService(*content, service);
+        forgetEndpoints(*content, service);
     }
     return std::make_shared<const View>(std::move(content));
 }
@@ -222,21 +258,17 @@
 
 std::vector<std::shared_ptr<const Route>> View::routesOf(std::string_view service) const
 {
-    const auto routes = m_content->routes.find(service);
-    return routes != nullptr ? routes->byName : std::vector<std::shared_ptr<const Route>>();
+    std::vector<std::shared_ptr<const Route>> routes;
+    for (const std::shared_ptr<const Selector> &selector : m_content->configuration->selectorsOf(service)) {
+        routes.push_back(resolve(*m_content, selector));
+    }
+    return routes;
 }
 
 std::shared_ptr<const Route> View::routeOf(std::string_view service, std::string_view selector) const
 {
-    const auto routes = m_content->routes.find(service);
-    if (routes == nullptr) {
-        return nullptr;
-    }
-    const auto isBefore = [](const std::shared_ptr<const Route> &route, std::string_view name) {
-        return route->selector->name < name;
-    };
-    const auto found = std::lower_bound(routes->byName.begin(), routes->byName.end(), selector, isBefore);
-    return found != routes->byName.end() && (*found)->selector->name == selector ? *found : nullptr;
+    const std::shared_ptr<const Selector> found = m_content->configuration->selector(selector);
+    return found != nullptr && found->service == service ? resolve(*m_content, found) : nullptr;
 }
 
 Result<std::shared_ptr<const HostRoute>> View::tryResolveHost(std::string_view host, std::string_view path) const
@@ -257,14 +289,13 @@
     if (m_content->configuration->version() == 0) {
         return Error {ErrorCode::ConfigurationUnknown, "no configuration is held"};
     }
-    const auto routes = m_content->routes.find(service);
-    if (routes == nullptr) {
+    if (m_content->configuration->service(service) == nullptr) {
         return Error {ErrorCode::ServiceUnknown, std::string(service)};
     }
     const auto callerService = m_content->configuration->service(caller);
-    for (const auto &route : routes->byPrecedence) {
-        if (matchesRequest(*route->selector, method, path) && matchesCaller(*route->selector, caller, callerService.get())) {
-            return route;
+    for (const auto &selector : selectorsByPrecedence(*m_content, std::string(service))) {
+        if (matchesRequest(*selector, method, path) && matchesCaller(*selector, caller, callerService.get())) {
+            return resolve(*m_content, selector);
         }
     }
     return Error {ErrorCode::NoRoute,
--- a/Libraries/LibConfiguration/View.h
+++ b/Libraries/LibConfiguration/View.h
@@ -10,9 +10,9 @@
 
 namespace Fuchsiastep {
 
-/// A configuration version and the live endpoints, with the routes resolved from both. Immutable: a proxy
-/// swaps it whole, and a request keeps the view that it started with. A route can only hold endpoints and
-/// services that the view has.
+/// A configuration version and the live endpoints, with the routes that follow from both. Its content never changes: a
+/// proxy swaps it whole, and a request keeps the view that it started with. A route can only hold endpoints and services
+/// that the view has. Routes are resolved when they are first asked for, so all views belong to one thread.
 class View
 {
 public:
@@ -21,7 +21,7 @@
     /// No configuration and no endpoints.
     static Pointer empty();
 
-    /// The view with another configuration. Only services that the change touches are resolved again.
+    /// The view with another configuration. What was resolved of services that the change leaves alone stays.
     Pointer withConfiguration(Configuration::Pointer configuration) const;
     /// The view with endpoints added or replaced (by upstream id), and others removed.
     Pointer withEndpoints(const std::vector<Endpoint> &stored, const std::vector<std::string> &removedUpstreamIds) const;
--- a/Tests/LibConfiguration/TestView.cpp
+++ b/Tests/LibConfiguration/TestView.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST_SUITE(TestView);
     CPPUNIT_TEST(testViewAgreesWithFullResolveUnderChurn);
     CPPUNIT_TEST(testErrorsAreDistinguished);
+    CPPUNIT_TEST(testEndpointChangeCostsNoRoutes);
     CPPUNIT_TEST_SUITE_END();
 
     static void compare(const std::string &where, const View &view, const std::map<std::string, Endpoint> &endpoints)
@@ -128,6 +129,37 @@
         CPPUNIT_ASSERT(codeOf(*view, "b") == ErrorCode::ServiceUnknown);
         CPPUNIT_ASSERT(codeOf(*view, "a") == ErrorCode::NoRoute);
     }
+
+    // Guards against changes of endpoints, of which a restart of many instances makes thousands, that resolve every route of
+    // a service again: each route that was resolved refers to the endpoint.
+    void testEndpointChangeCostsNoRoutes()
+    {
+        constexpr int Selectors = 1000;
+        constexpr long MaximumReferences = 10;
+        std::vector<DeclaredObject> objects {ServiceDeclaration {"desk", {}}};
+        Digest digest = digestOf(objects.front());
+        for (int i = 0; i < Selectors; ++i) {
+            Selector selector;
+            selector.name = "selector-" + std::to_string(i);
+            selector.service = "desk";
+            objects.emplace_back(selector);
+            digest += digestOf(objects.back());
+        }
+        const auto configuration = Configuration::tryBuild(objects, 1, digest);
+        CPPUNIT_ASSERT(!isError(configuration));
+        Endpoint endpoint;
+        endpoint.upstreamId = "u0";
+        endpoint.service = "desk";
+        View::Pointer view = View::empty()->withConfiguration(valueOf(configuration))->withEndpoints({endpoint}, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), view->routeOf("desk", "selector-7")->endpoints.size());
+        CPPUNIT_ASSERT(!isError(view->tryResolve("till", "desk", "GET", "/")));
+        endpoint.upstreamId = "u1";
+        view = view->withEndpoints({endpoint}, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), view->routeOf("desk", "selector-7")->endpoints.size());
+        CPPUNIT_ASSERT(!isError(view->tryResolve("till", "desk", "GET", "/")));
+        CPPUNIT_ASSERT(view->endpoint("u1").use_count() < MaximumReferences);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(Selectors), view->routesOf("desk").size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestView);
