Change the routes of hosts in proportion to a change of the configuration

Cause: each configuration version visited every object in order and built the routes of every host again, some milliseconds for 1,200 routes on each proxy, in storms several times a second. Change: HostRoutes follows from the one before and the selectors that differ; hosts are shared between versions.

--- a/Libraries/LibConfiguration/Configuration.cpp
+++ b/Libraries/LibConfiguration/Configuration.cpp
@@ -245,6 +245,11 @@
     m_content->services.forEachDifference(other.m_content->services, visit);
 }
 
+void Configuration::forEachChangedSelector(const Configuration &other, const std::function<void(const std::string &)> &visit) const
+{
+    m_content->selectors.forEachDifference(other.m_content->selectors, visit);
+}
+
 Result<Configuration::Pointer> Configuration::tryApply(const ConfigurationDelta &delta) const
 {
     if (delta.baseVersion != version() || delta.baseDigest != digest()) {
--- a/Libraries/LibConfiguration/Configuration.h
+++ b/Libraries/LibConfiguration/Configuration.h
@@ -51,6 +51,9 @@
     /// \a other. Costs time in proportion to the difference where one is derived from the other.
     void forEachChangedService(const Configuration &other, const std::function<void(const std::string &)> &visit) const;
 
+    /// Calls \a visit with the name of each selector that is not the same in \a other. Costs as above.
+    void forEachChangedSelector(const Configuration &other, const std::function<void(const std::string &)> &visit) const;
+
     /// The configuration that \a delta leads to. All or nothing. Fails with VersionTooLow, BaseMismatch, DigestMismatch
     /// or DanglingReference (a selector or upstream names a service that the result does not have).
     /// Removing a missing object has no effect, because a merged delta also removes what it would have
--- a/Libraries/LibConfiguration/HostRoutes.h
+++ b/Libraries/LibConfiguration/HostRoutes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibConfiguration/Configuration.h>
+#include <LibConfiguration/PersistentMap.h>
 
 #include <cstdint>
 #include <map>
@@ -30,18 +31,24 @@
     std::vector<HostRoutePart> parts;
 };
 
-/// Finds the selectors that a request names by its host and path. Immutable, and built from one configuration.
+/// Finds the selectors that a request names by its host and path, in one configuration. Immutable; successive versions share
+/// the hosts that a change leaves alone.
 class HostRoutes
 {
 public:
-    static std::shared_ptr<const HostRoutes> build(const Configuration &configuration);
+    /// The routes of \a configuration, where these are the ones of \a current.
+    std::shared_ptr<const HostRoutes> withConfiguration(const Configuration &configuration, const Configuration &current) const;
 
     /// The route with the longest prefix of \a path (without a query); nullptr where there is none.
     std::shared_ptr<const HostRoute> find(std::string_view host, std::string_view path) const;
 
 private:
-    using ByPrefix = std::map<std::string, std::shared_ptr<HostRoute>, std::less<>>;
-    std::map<std::string, ByPrefix, std::less<>> m_byHost;
+    using ByPrefix = std::map<std::string, std::shared_ptr<const HostRoute>, std::less<>>;
+
+    static void add(ByPrefix &routes, const Selector &selector);
+    static void remove(ByPrefix &routes, const Selector &selector);
+
+    PersistentMap<ByPrefix> m_byHost;
 };
 
 } // namespace Fuchsiastep
--- a/Libraries/LibConfiguration/View.cpp
+++ b/Libraries/LibConfiguration/View.cpp
@@ -221,7 +221,7 @@
     content->configuration = std::move(configuration);
     content->configuration->forEachChangedService(
         *m_content->configuration, [&](const std::string &service) { content->resolved.erase(service); });
-    content->hostRoutes = HostRoutes::build(*content->configuration);
+    content->hostRoutes = m_content->hostRoutes->withConfiguration(*content->configuration, *m_content->configuration);
     return std::make_shared<const View>(std::move(content));
 }
 
--- a/Tests/LibConfiguration/TestView.cpp
+++ b/Tests/LibConfiguration/TestView.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(testViewAgreesWithFullResolveUnderChurn);
     CPPUNIT_TEST(testErrorsAreDistinguished);
     CPPUNIT_TEST(testEndpointChangeCostsNoRoutes);
+    CPPUNIT_TEST(testHostRoutesAgreeWithAFullBuild);
     CPPUNIT_TEST_SUITE_END();
 
     static void compare(const std::string &where, const View &view, const std::map<std::string, Endpoint> &endpoints)
@@ -160,6 +161,75 @@
         CPPUNIT_ASSERT(view->endpoint("u1").use_count() < MaximumReferences);
         CPPUNIT_ASSERT_EQUAL(std::size_t(Selectors), view->routesOf("desk").size());
     }
+
+    static std::string partsAt(const View &view, const std::string &host, const std::string &path)
+    {
+        const auto route = view.tryResolveHost(host, path);
+        std::string text;
+        if (!isError(route)) {
+            for (const HostRoutePart &part : valueOf(route)->parts) {
+                text += part.service + '/' + part.selector + '*' + std::to_string(part.weight) + ' ';
+            }
+        }
+        return text;
+    }
+
+    // Guards against routes of hosts that differ from those of the whole configuration after a series of changes, and against
+    // changes that build the routes of hosts again that they leave alone.
+    void testHostRoutesAgreeWithAFullBuild()
+    {
+        const std::vector<std::string> hosts {"", "a.example", "b.example"};
+        const std::vector<std::string> prefixes {"/", "/x/", "/x/y/"};
+        for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+            Random random(seed);
+            const ServiceDeclaration service {"desk", {}};
+            Selector fixed;
+            fixed.name = "fixed";
+            fixed.service = "desk";
+            fixed.host = "c.example";
+            fixed.pathPrefix = "/";
+            std::map<std::string, DeclaredObject> objects {{"service", service}, {"fixed", fixed}};
+            View::Pointer view = View::empty();
+            std::shared_ptr<const HostRoute> untouched;
+            for (ConfigurationVersion version = 1; version <= 40; ++version) {
+                for (int change = 0; change < 3; ++change) {
+                    Selector selector;
+                    selector.name = "selector-" + std::to_string(random.below(12));
+                    selector.service = "desk";
+                    selector.host = hosts[random.below(hosts.size())];
+                    selector.pathPrefix = prefixes[random.below(prefixes.size())];
+                    selector.weight = static_cast<std::uint32_t>(1 + random.below(3));
+                    if (random.chance(0.3)) {
+                        objects.erase(selector.name);
+                    } else {
+                        objects[selector.name] = selector;
+                    }
+                }
+                std::vector<DeclaredObject> list;
+                Digest digest;
+                for (const auto &[name, object] : objects) {
+                    list.push_back(object);
+                    digest += digestOf(object);
+                }
+                const auto built = Configuration::tryBuild(list, version, digest);
+                CPPUNIT_ASSERT(!isError(built));
+                const auto next = view->configuration()->tryApply(ConfigurationDelta::between(*view->configuration(), list, version));
+                CPPUNIT_ASSERT(!isError(next));
+                view = view->withConfiguration(valueOf(next));
+                const View::Pointer whole = View::empty()->withConfiguration(valueOf(built));
+                for (const std::string &host : hosts) {
+                    for (const char *path : {"/", "/x/1", "/x/y/1"}) {
+                        const std::string where =
+                            "seed " + std::to_string(seed) + " version " + std::to_string(version) + ' ' + host + path;
+                        CPPUNIT_ASSERT_EQUAL_MESSAGE(where, partsAt(*whole, host, path), partsAt(*view, host, path));
+                    }
+                }
+                const std::shared_ptr<const HostRoute> route = valueOf(view->tryResolveHost("c.example", "/"));
+                CPPUNIT_ASSERT(untouched == nullptr || untouched == route);
+                untouched = route;
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestView);
