Start no request whose caller has left before it is handled

Cause, from the code: three places where a proxy that is short of processor time starts what is over already. A request and the end of its connection are read in two turns of the loop, and the request is passed on in between. A request and its cancel lie in the same read of a peer connection, and the request is started before the cancel is looked at. And on a new connection between proxies there is no earlier request to tell how late the first one is, so that a delay of seconds counted as none; connections end and open again just when proxies are slow. Change: HttpServer opens no request of a client whose end the socket already shows. PeerConnection drops requests whose cancel has arrived with them. TransitDelays keeps the fastest time of a peer across its connections.

--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -93,7 +93,8 @@
 void HttpServer::receive(Connection &connection, std::string_view bytes)
 {
     connection.lastByteAt = m_clock.now();
-    if (connection.isReadingDone) {
+    // Requests of a client that is gone are not opened: they could reach an upstream before their end is told.
+    if (connection.isReadingDone || connection.stream->hasPeerEnded()) {
         return;
     }
     connection.unparsedBytes += bytes.size();
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -115,7 +115,6 @@
 void RequestTask::handle(const PeerConnectionClosed &closed)
 {
     if (!closed.carriesRequests) {
-        m_transitDelays.erase(closed.connectionId);
         run(m_transfers.closeConnection(closed.connectionId));
         run(m_gate.handle(PeerDisconnected {closed.connectionId}));
     } else if (closed.neverConnected) {
@@ -490,7 +489,8 @@
     run(m_gate.handle(TransferBacklog {m_transfers.backlog(), m_transfers.timeFor(Megabyte)}));
     PeerRequest request {received.connectionId, frame, received.proxyId == m_settings.proxyId};
     if (frame.sentAtMs > 0) {
-        request.transitDelay = m_transitDelays[received.connectionId].record(frame.sentAtMs, m_clock.uninterruptedMilliseconds());
+        request.transitDelay =
+            m_transitDelays.record(received.proxyId, received.incarnation, frame.sentAtMs, m_clock.uninterruptedMilliseconds());
     }
     run(m_gate.handle(request));
 }
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -190,8 +190,7 @@
     RequestCoordinator m_coordinator;
     UpstreamGate m_gate;
     AnswerTransfers m_transfers;
-    /// Of the requests from each connection.
-    std::unordered_map<std::uint64_t, TransitDelay> m_transitDelays;
+    TransitDelays m_transitDelays;
     ClaimLedger m_ledger;
     DrainAdmission m_drain;
     bool m_isGateDrained = false;
--- a/Libraries/LibRequest/LibRequest.h
+++ b/Libraries/LibRequest/LibRequest.h
@@ -20,4 +20,5 @@
 #include <LibRequest/ServiceTimes.h>
 #include <LibRequest/TransferForecast.h>
 #include <LibRequest/TransitDelay.h>
+#include <LibRequest/TransitDelays.h>
 #include <LibRequest/UpstreamGate.h>
--- a/Libraries/LibWire/PeerConnection.cpp
+++ b/Libraries/LibWire/PeerConnection.cpp
@@ -1,5 +1,8 @@
 #include <LibWire/PeerConnection.h>
 
+#include <set>
+#include <vector>
+
 namespace Fuchsiastep {
 
 /// A peer that acknowledges nothing for this long is taken for gone: the network between proxies answers within
@@ -57,21 +60,47 @@
         }
     }
 
-    void deliver()
+    /// Moves the whole frames that have arrived to \a frames. Returns the error behind them, if there is one.
+    std::optional<Error> takeFrames(std::vector<Frame> &frames)
     {
-        while (stream->isOpen()) {
+        while (true) {
             Result<std::optional<Frame>> next = input.tryNext();
             if (isError(next)) {
-                fail(errorOf(next));
-                return;
+                return errorOf(next);
             }
             std::optional<Frame> frame = valueOf(std::move(next));
-            if (!frame || !onFrame) {
+            if (!frame) {
+                return std::nullopt;
+            }
+            frames.push_back(std::move(*frame));
+        }
+    }
+
+    void deliver()
+    {
+        std::vector<Frame> frames;
+        const std::optional<Error> error = takeFrames(frames);
+        std::set<std::uint64_t> cancelled;
+        for (const Frame &frame : frames) {
+            if (const auto *cancel = std::get_if<CancelFrame>(&frame)) {
+                cancelled.insert(cancel->requestId);
+            }
+        }
+        for (Frame &frame : frames) {
+            // A proxy that is short of processor time finds both in one read; the request must not start in between.
+            const auto *request = std::get_if<RequestFrame>(&frame);
+            if (request != nullptr && cancelled.contains(request->requestId)) {
+                continue;
+            }
+            if (!stream->isOpen() || !onFrame) {
                 return;
             }
             // The handler may destroy the connection and with it the stored function.
             const FrameHandler handler = onFrame;
-            handler(std::move(*frame));
+            handler(std::move(frame));
+        }
+        if (error && stream->isOpen()) {
+            fail(*error);
         }
     }
 };
--- a/Libraries/LibWire/PeerConnection.h
+++ b/Libraries/LibWire/PeerConnection.h
@@ -15,7 +15,8 @@
 namespace Fuchsiastep {
 
 /// One TCP connection that carries frames. It owns its socket, lives on the default main context and
-/// tells its owner what arrives. The owner may destroy it from any handler.
+/// tells its owner what arrives, in order, but for requests whose CancelFrame has arrived as well. The owner may destroy it
+/// from any handler.
 class PeerConnection
 {
 public:
--- a/Libraries/LibWire/SocketPoll.cpp
+++ b/Libraries/LibWire/SocketPoll.cpp
@@ -79,7 +79,11 @@
         }
         const std::shared_ptr<const SocketWatch::ReadyHandler> handler = found->second;
         const bool hasEnded = (event.events & (EPOLLERR | EPOLLHUP)) != 0;
-        (*handler)(hasEnded || (event.events & EPOLLIN) != 0, hasEnded || (event.events & EPOLLOUT) != 0);
+        (*handler)({
+            .isReadable = hasEnded || (event.events & (EPOLLIN | EPOLLRDHUP)) != 0,
+            .isWritable = hasEnded || (event.events & EPOLLOUT) != 0,
+            .hasPeerEnded = hasEnded || (event.events & EPOLLRDHUP) != 0,
+        });
     }
 }
 
--- a/Libraries/LibWire/SocketWatch.cpp
+++ b/Libraries/LibWire/SocketWatch.cpp
@@ -8,6 +8,8 @@
 
 namespace Fuchsiastep {
 
+static constexpr std::uint32_t ReadEvents = EPOLLIN | EPOLLRDHUP;
+
 SocketWatch::SocketWatch(int descriptor, ReadyHandler onReady)
     : m_descriptor(descriptor), m_id(SocketPoll::instance().add(std::move(onReady)))
 { }
@@ -20,7 +22,7 @@
 
 void SocketWatch::setReads(bool isWanted)
 {
-    update(isWanted ? m_events | EPOLLIN : m_events & ~static_cast<std::uint32_t>(EPOLLIN));
+    update(isWanted ? m_events | ReadEvents : m_events & ~ReadEvents);
 }
 
 void SocketWatch::setWrites(bool isWanted)
--- a/Libraries/LibWire/SocketWatch.h
+++ b/Libraries/LibWire/SocketWatch.h
@@ -11,8 +11,15 @@
 class SocketWatch
 {
 public:
-    /// Errors and the end of the connection make the socket both readable and writable.
-    using ReadyHandler = std::function<void(bool isReadable, bool isWritable)>;
+    struct Readiness
+    {
+        /// Errors and the end of the connection make the socket both readable and writable.
+        bool isReadable = false;
+        bool isWritable = false;
+        /// The peer has ended its direction; bytes that it sent before may still wait to be read.
+        bool hasPeerEnded = false;
+    };
+    using ReadyHandler = std::function<void(const Readiness &readiness)>;
 
     /// The descriptor has to stay open as long as the watch. The handler may destroy the watch.
     SocketWatch(int descriptor, ReadyHandler onReady);
--- a/Libraries/LibWire/TcpStream.cpp
+++ b/Libraries/LibWire/TcpStream.cpp
@@ -19,6 +19,7 @@
     GSource *connectTimer = nullptr;
     bool isConnecting = false;
     bool mustFinish = false;
+    bool hasPeerEnded = false;
     std::string output;
     std::size_t outputBegin = 0;
     std::uint64_t bytesSent = 0;
@@ -66,26 +67,27 @@
 
     void startWatch()
     {
-        watch = std::make_unique<SocketWatch>(g_socket_get_fd(socket), [weak = weak_from_this()](bool isReadable, bool isWritable) {
+        watch = std::make_unique<SocketWatch>(g_socket_get_fd(socket), [weak = weak_from_this()](const SocketWatch::Readiness &readiness) {
             if (const auto self = weak.lock()) {
-                self->handleReady(isReadable, isWritable);
+                self->handleReady(readiness);
             }
         });
     }
 
-    void handleReady(bool isReadable, bool isWritable)
+    void handleReady(const SocketWatch::Readiness &readiness)
     {
         if (isConnecting) {
-            if (isWritable) {
+            if (readiness.isWritable) {
                 handleWritable();
             }
             return;
         }
         // What the peer sent before it broke the connection is still read.
-        if (isReadable) {
+        hasPeerEnded = readiness.hasPeerEnded;
+        if (readiness.isReadable) {
             read();
         }
-        if (isWritable && socket != nullptr && outputBegin < output.size()) {
+        if (readiness.isWritable && socket != nullptr && outputBegin < output.size()) {
             handleWritable();
         }
     }
@@ -325,6 +327,11 @@
     return m_state->socket != nullptr;
 }
 
+bool TcpStream::hasPeerEnded() const
+{
+    return m_state->hasPeerEnded;
+}
+
 std::size_t TcpStream::bytesQueued() const
 {
     return m_state->output.size() - m_state->outputBegin;
--- a/Libraries/LibWire/TcpStream.h
+++ b/Libraries/LibWire/TcpStream.h
@@ -57,6 +57,8 @@
     void close();
 
     bool isOpen() const;
+    /// The peer has ended its direction. Bytes that arrived before may still be told, and the end is told after them.
+    bool hasPeerEnded() const;
     std::size_t bytesQueued() const;
     std::uint64_t bytesSent() const;
     std::uint64_t bytesReceived() const;
--- a/Tests/LibProxy/TestHttpServer.cpp
+++ b/Tests/LibProxy/TestHttpServer.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(testBodyLimit);
     CPPUNIT_TEST(testPathArrivesAsItWasSent);
     CPPUNIT_TEST(testAbandonedRequestIsReported);
+    CPPUNIT_TEST(testRequestOfAClientThatLeftIsNotOpened);
     CPPUNIT_TEST(testClosedConnectionsAreFreed);
     CPPUNIT_TEST(testPipelinedRequestIsServed);
     CPPUNIT_TEST(testClosingAnswersWhatWasRead);
@@ -155,6 +156,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {1}, m_abandoned.size());
     }
 
+    // Guards against work for a caller that had left before its request was read, as happens where the proxy is short of
+    // processor time.
+    void testRequestOfAClientThatLeftIsNotOpened()
+    {
+        RawClient gone(m_server->address());
+        gone.send("GET /gone HTTP/1.1\r\nHost: x\r\n\r\n");
+        gone.close();
+        assertServes();
+        for (const HttpRequest &request : m_requests) {
+            CPPUNIT_ASSERT(request.path != "/gone");
+        }
+        CPPUNIT_ASSERT(runUntil([this] { return m_server->requestsOpen() == 0; }));
+    }
+
     // Guards against descriptors that run out because callers give up, or close a connection after its answer.
     void testClosedConnectionsAreFreed()
     {
--- a/Tests/LibProxy/TestPeerLinks.cpp
+++ b/Tests/LibProxy/TestPeerLinks.cpp
@@ -17,6 +17,7 @@
 {
     CPPUNIT_TEST_SUITE(TestPeerLinks);
     CPPUNIT_TEST(testFramesArriveInOrder);
+    CPPUNIT_TEST(testCancelledRequestIsNotDelivered);
     CPPUNIT_TEST(testHostileBytesCloseOnlyTheirConnection);
     CPPUNIT_TEST(testConnectionThatNeverOpenedIsReported);
     CPPUNIT_TEST(testConnectionThatHangsIsReported);
@@ -131,6 +132,33 @@
         CPPUNIT_ASSERT(first.closed.empty() && second.closed.empty());
     }
 
+    // Guards against runs for callers that have left: a proxy that is short of processor time finds a request and its cancel
+    // in one read. Other requests and cancels are told in order.
+    void testCancelledRequestIsNotDelivered()
+    {
+        Peer first("p-1");
+        Peer second("p-2");
+        const auto request = [](std::uint64_t id) {
+            RequestFrame frame;
+            frame.requestId = id;
+            return frame;
+        };
+        const SocketAddress address = second.links.address();
+        for (const Frame &frame : std::vector<Frame> {request(1), request(2), CancelFrame {1}, CancelFrame {9}, request(3)}) {
+            first.links.sendTo("p-2", address, frame);
+        }
+        CPPUNIT_ASSERT(runUntil([&second] { return second.frames.size() >= 4; }));
+        std::string told;
+        for (const PeerFrameReceived &received : second.frames) {
+            if (const auto *frame = std::get_if<RequestFrame>(&received.frame)) {
+                told += "request " + std::to_string(frame->requestId) + ' ';
+            } else if (const auto *cancel = std::get_if<CancelFrame>(&received.frame)) {
+                told += "cancel " + std::to_string(cancel->requestId) + ' ';
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("request 2 cancel 1 cancel 9 request 3 "), told);
+    }
+
     // Guards against bytes that crash a proxy, reach its tasks or close the connections of other peers.
     void testHostileBytesCloseOnlyTheirConnection()
     {
--- a/Tests/LibRequest/TestOverload.cpp
+++ b/Tests/LibRequest/TestOverload.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(testTightTargetFindsAPlace);
     CPPUNIT_TEST(testLargeAnswersKeepTheirTarget);
     CPPUNIT_TEST(testTransitDelay);
+    CPPUNIT_TEST(testTransitDelayOnANewConnection);
     CPPUNIT_TEST(testHeldUpRequestIsNotRun);
     CPPUNIT_TEST_SUITE_END();
 
@@ -209,6 +210,26 @@
         }
     }
 
+    // Guards against a first request on a new connection whose delay is not noticed, and against clocks of different starts
+    // of a peer that are compared.
+    void testTransitDelayOnANewConnection()
+    {
+        constexpr std::uint64_t Clocks = 100'000;
+        TransitDelays delays(2);
+        CPPUNIT_ASSERT(delays.record("p-1", 1, 1000, Clocks + 1000) == Duration(0));
+        // The connection ended, and the first request on the next one is held up for 1.4 s.
+        const Duration delay = delays.record("p-1", 1, 2000, Clocks + 3400);
+        // Less what the clocks may have drifted apart in 2.4 s.
+        CPPUNIT_ASSERT(delay <= std::chrono::milliseconds(1400) && delay >= std::chrono::milliseconds(1397));
+        CPPUNIT_ASSERT(delays.record("p-2", 1, 5, Clocks + 3400) == Duration(0));
+        // A peer that has started anew has another clock.
+        CPPUNIT_ASSERT(delays.record("p-1", 2, 10, Clocks + 3500) == Duration(0));
+        // The peer that came first is forgotten where there are too many.
+        CPPUNIT_ASSERT(delays.record("p-3", 1, 1, Clocks) == Duration(0));
+        CPPUNIT_ASSERT(delays.record("p-2", 1, 6, Clocks + 3501) >= std::chrono::milliseconds(99));
+        CPPUNIT_ASSERT(delays.record("p-1", 2, 11, Clocks + 9000) == Duration(0));
+    }
+
     // Guards against a delay that is taken from the difference of two clocks, and against one that lasts after a pause.
     void testTransitDelay()
     {
