--- a/Benchmarks/RoutingBenchmarks.cpp
+++ b/Benchmarks/RoutingBenchmarks.cpp
@@ -33,7 +33,6 @@
 }
 BENCHMARK(upstreamSelect)->Name("UpstreamSelect")->Arg(10)->Arg(100)->Arg(1'000)->MinTime(0.2);
 
-
 /// A route with a target latency, and a load report of each upstream.
 void upstreamPlace(benchmark::State &state)
 {
