Handle announcements and operators' requests of clients that have left

Found while reading the change: HttpServer dropped every request whose client had ended its connection before it was read, also at the control address. An upstream that reports its departure and exits at once would have been overlooked by a slow proxy, and requests would have gone on to it. Change: HttpServer opens the request and marks it; only RequestTask drops calls that are marked. Result: testRequestOfAClientThatLeftIsMarked takes the place of testRequestOfAClientThatLeftIsNotOpened: it checks that the request is read and marked, and that another one is not.

--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -93,8 +93,7 @@
 void HttpServer::receive(Connection &connection, std::string_view bytes)
 {
     connection.lastByteAt = m_clock.now();
-    // Requests of a client that is gone are not opened: they could reach an upstream before their end is told.
-    if (connection.isReadingDone || connection.stream->hasPeerEnded()) {
+    if (connection.isReadingDone) {
         return;
     }
     connection.unparsedBytes += bytes.size();
@@ -166,6 +165,7 @@
     request.target = std::move(message.target);
     request.headers = std::move(message.headers);
     request.body = std::move(message.body);
+    request.hasClientLeft = connection.stream->hasPeerEnded();
     connection.exchanges.push_back({request.token, request.method == "HEAD", message.isLast, std::nullopt});
     connection.isReadingDone = connection.isReadingDone || message.isLast;
     m_connectionOfToken[request.token] = connection.id;
--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -29,6 +29,8 @@
     ErrorCode rejection = ErrorCode::None;
     /// Path and query byte for byte as the client sent them.
     std::string target;
+    /// The client had ended its connection when the request was read; HttpRequestAbandoned follows.
+    bool hasClientLeft = false;
 };
 
 /// The client closed its connection before its answer was complete.
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -221,6 +221,10 @@
 
 void RequestTask::startCall(HttpRequest request)
 {
+    // Such a call could reach an upstream before its end is told.
+    if (request.hasClientLeft) {
+        return;
+    }
     const std::uint64_t token = request.token;
     m_calls[token] = {m_clock.now(), {}, {}};
     Result<Call> parsed = m_protocol.tryParseCall(std::move(request));
--- a/Tests/LibProxy/TestHttpServer.cpp
+++ b/Tests/LibProxy/TestHttpServer.cpp
@@ -17,7 +17,7 @@
     CPPUNIT_TEST(testBodyLimit);
     CPPUNIT_TEST(testPathArrivesAsItWasSent);
     CPPUNIT_TEST(testAbandonedRequestIsReported);
-    CPPUNIT_TEST(testRequestOfAClientThatLeftIsNotOpened);
+    CPPUNIT_TEST(testRequestOfAClientThatLeftIsMarked);
     CPPUNIT_TEST(testClosedConnectionsAreFreed);
     CPPUNIT_TEST(testPipelinedRequestIsServed);
     CPPUNIT_TEST(testClosingAnswersWhatWasRead);
@@ -157,15 +157,16 @@
     }
 
     // Guards against work for a caller that had left before its request was read, as happens where the proxy is short of
-    // processor time.
-    void testRequestOfAClientThatLeftIsNotOpened()
+    // processor time, and against an announcement of an upstream that is lost for the same reason.
+    void testRequestOfAClientThatLeftIsMarked()
     {
         RawClient gone(m_server->address());
         gone.send("GET /gone HTTP/1.1\r\nHost: x\r\n\r\n");
         gone.close();
         assertServes();
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, m_requests.size());
         for (const HttpRequest &request : m_requests) {
-            CPPUNIT_ASSERT(request.path != "/gone");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(request.path, request.path == "/gone", request.hasClientLeft);
         }
         CPPUNIT_ASSERT(runUntil([this] { return m_server->requestsOpen() == 0; }));
     }
