Refuse a body's length before the HTTP library reserves memory for it

Cause: the library compares the length of a response with the limit and reports body_limit, but with eager reading and bytes of the body in the same read it goes on to reserve memory for that length. Ruled out: that the limit is not passed on (a head in a read of its own is refused), and chunk sizes (compared before use, also at 2^64).

Change: eager reading begins behind the head, so that the verdict on the length ends that read.

Evidence: testSizesBeyondTheLimits cuts lengths and chunk sizes up to 2^64 at every step. It fails with eager reading from the start, and passes now, also under the sanitizers.

--- a/Libraries/LibHttp/HttpParser.cpp
+++ b/Libraries/LibHttp/HttpParser.cpp
@@ -103,7 +103,9 @@
     template<typename Parser>
     void configure(Parser &fresh) const
     {
-        fresh.eager(true);
+        // Eager reading begins behind the head: the library would otherwise report a length beyond the limit and go on to
+        // reserve memory for it.
+        fresh.eager(false);
         fresh.header_limit(limits.headBytes);
         fresh.body_limit(limits.bodyBytes);
     }
@@ -155,20 +157,33 @@
         return message;
     }
 
+    /// Hands unread bytes to the library. The result is false where it needs more of them.
+    template<typename Parser>
+    Result<bool> tryPut(Parser &current)
+    {
+        boost::system::error_code error;
+        hasStarted = true;
+        inputBegin += current.put(boost::asio::const_buffer(input.data() + inputBegin, unread()), error);
+        if (error && error != Http::error::need_more) {
+            return kind == Kind::Request ? requestError(error) : Error {ErrorCode::AnswerTruncated, error.message()};
+        }
+        if (current.is_header_done()) {
+            current.eager(true);
+        }
+        return !error;
+    }
+
     /// Feeds the parser until the message is whole or the input is used up.
     template<typename Parser>
     Result<std::optional<HttpMessage>> advance(Parser &current)
     {
-        while (unread() > 0 && !current.is_done()) {
-            boost::system::error_code error;
-            hasStarted = true;
-            inputBegin += current.put(boost::asio::const_buffer(input.data() + inputBegin, unread()), error);
-            if (error == Http::error::need_more) {
-                break;
-            }
-            if (error) {
-                return kind == Kind::Request ? requestError(error) : Error {ErrorCode::AnswerTruncated, error.message()};
+        bool takesMore = true;
+        while (takesMore && unread() > 0 && !current.is_done()) {
+            const Result<bool> taken = tryPut(current);
+            if (isError(taken)) {
+                return errorOf(taken);
             }
+            takesMore = valueOf(taken);
         }
         dropRead();
         if (!current.is_done()) {
--- a/Tests/LibHttp/TestHttpParser.cpp
+++ b/Tests/LibHttp/TestHttpParser.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(testRequests);
     CPPUNIT_TEST(testResponses);
     CPPUNIT_TEST(testMessagesAreCutAtEveryByte);
+    CPPUNIT_TEST(testSizesBeyondTheLimits);
     CPPUNIT_TEST(testConnectionFieldsAreNotPassedOn);
     CPPUNIT_TEST(testSerializedMessagesAreReadBack);
     CPPUNIT_TEST(testContinueIsWantedOnce);
@@ -136,6 +137,35 @@
         }
     }
 
+    // Guards against memory that is reserved for a length in a head or in a chunk before it is compared with the limit, which
+    // ended the process (std::bad_alloc): the first bytes of the body may come in the same read as the head, or later.
+    void testSizesBeyondTheLimits()
+    {
+        const std::string response = "HTTP/1.1 200 OK\r\n";
+        const std::string request = "POST / HTTP/1.1\r\nHost: h\r\n";
+        const std::string body(200, 'x');
+        const std::vector<std::string> lengths {
+            "1001", "4294967296", "4000000000000000", "9223372036854775807", "18446744073709551615", "18446744073709551616", "4e15"};
+        const std::vector<std::string> chunkSizes {"3e9", "100000000", "7fffffffffffffff", "ffffffffffffffff", "10000000000000000"};
+        std::vector<std::string> framings;
+        for (const std::string &length : lengths) {
+            framings.push_back("Content-Length: " + length + "\r\n\r\n" + body);
+        }
+        for (const std::string &size : chunkSizes) {
+            framings.push_back("Transfer-Encoding: chunked\r\n\r\n" + size + "\r\n" + body);
+            framings.push_back("Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n" + size + "\r\n" + body);
+        }
+        for (const std::string &framing : framings) {
+            for (std::size_t step = 1; step <= request.size() + framing.size(); ++step) {
+                const std::string where = "step " + std::to_string(step) + " of " + framing;
+                const Reading answer = read(HttpParser::Kind::Response, response + framing, step, false);
+                CPPUNIT_ASSERT_MESSAGE(where, answer.error && answer.messages.empty());
+                const Reading call = read(HttpParser::Kind::Request, request + framing, step, false);
+                CPPUNIT_ASSERT_MESSAGE(where, call.error && call.messages.empty());
+            }
+        }
+    }
+
     // Guards against a reading that depends on how the network cuts the bytes.
     void testMessagesAreCutAtEveryByte()
     {
