End a message, not the process, where the HTTP library throws

Cause: the library throws std::length_error for a field name or value of 64 KiB or more, and std::bad_alloc where memory cannot be had; nothing caught either. The head of an answer is bounded below 64 KiB, but callers may send as much as maxHeaderBytes of the configuration, and trailers count as fields as well.

Change: exceptions end at the boundary of LibHttp, as an error of that one message. The main loop has no catch-all.

Evidence: testFieldsThatTheLibraryDoesNotStore fails without the change ("uncaught exception") and passes now.

--- a/Libraries/LibHttp/HttpParser.cpp
+++ b/Libraries/LibHttp/HttpParser.cpp
@@ -7,7 +7,9 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <charconv>
+#include <exception>
 #include <set>
+#include <stdexcept>
 #include <variant>
 
 namespace Fuchsiastep {
@@ -163,7 +165,14 @@
     {
         boost::system::error_code error;
         hasStarted = true;
-        inputBegin += current.put(boost::asio::const_buffer(input.data() + inputBegin, unread()), error);
+        try {
+            inputBegin += current.put(boost::asio::const_buffer(input.data() + inputBegin, unread()), error);
+        } catch (const std::length_error &exception) {
+            // The library stores no field name, value or target of 64 KiB or more.
+            return Error {kind == Kind::Request ? ErrorCode::HeadTooLarge : ErrorCode::AnswerTruncated, exception.what()};
+        } catch (const std::exception &exception) {
+            return Error {kind == Kind::Request ? ErrorCode::BodyTooLarge : ErrorCode::AnswerTruncated, exception.what()};
+        }
         if (error && error != Http::error::need_more) {
             return kind == Kind::Request ? requestError(error) : Error {ErrorCode::AnswerTruncated, error.message()};
         }
--- a/Tests/LibHttp/TestHttpParser.cpp
+++ b/Tests/LibHttp/TestHttpParser.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(testResponses);
     CPPUNIT_TEST(testMessagesAreCutAtEveryByte);
     CPPUNIT_TEST(testSizesBeyondTheLimits);
+    CPPUNIT_TEST(testFieldsThatTheLibraryDoesNotStore);
     CPPUNIT_TEST(testConnectionFieldsAreNotPassedOn);
     CPPUNIT_TEST(testSerializedMessagesAreReadBack);
     CPPUNIT_TEST(testContinueIsWantedOnce);
@@ -28,9 +29,9 @@
     };
 
     /// Feeds \a bytes in pieces of \a step bytes and reads what there is.
-    static Reading read(HttpParser::Kind kind, const std::string &bytes, std::size_t step, bool hasEnd)
+    static Reading read(HttpParser::Kind kind, const std::string &bytes, std::size_t step, bool hasEnd, const HttpLimits &limits = Limits)
     {
-        HttpParser parser(kind, Limits);
+        HttpParser parser(kind, limits);
         Reading reading;
         for (std::size_t begin = 0; begin < bytes.size() && !reading.error; begin += step) {
             parser.append(std::string_view(bytes).substr(begin, step));
@@ -166,6 +167,30 @@
         }
     }
 
+    // Guards against an exception of the library, which ended the process: it stores no field of 64 KiB or more, whatever the
+    // limit of a deployment is.
+    void testFieldsThatTheLibraryDoesNotStore()
+    {
+        constexpr HttpLimits WideLimits {512 * 1024, 1000};
+        const std::string longText(70'000, 'x');
+        const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n";
+        const std::vector<std::string> fields {
+            "X: " + longText + "\r\n\r\n",
+            longText + ": x\r\n\r\n",
+            chunked + "X: " + longText + "\r\n\r\n",
+            chunked + longText + ": x\r\n\r\n",
+        };
+        for (const std::string &field : fields) {
+            const std::string where = field.substr(0, 100);
+            const std::string request = "POST / HTTP/1.1\r\nHost: h\r\n" + field;
+            const Reading call = read(HttpParser::Kind::Request, request, request.size(), false, WideLimits);
+            CPPUNIT_ASSERT_MESSAGE(where, call.error == ErrorCode::HeadTooLarge && call.messages.empty());
+            const std::string response = "HTTP/1.1 200 OK\r\n" + field;
+            const Reading answer = read(HttpParser::Kind::Response, response, response.size(), false, WideLimits);
+            CPPUNIT_ASSERT_MESSAGE(where, answer.error && answer.messages.empty());
+        }
+    }
+
     // Guards against a reading that depends on how the network cuts the bytes.
     void testMessagesAreCutAtEveryByte()
     {
