Bound the answers that an upstream writes by the memory of the instance

Cause: each answer was bounded (64 KiB of head, 16 MiB of body), all of them together were not, and no bound came from the memory of the instance. Interim answers were bounded by the bytes of the exchange only (32 MiB).

Change: limits.memory_mb, filled in by the deploy file, gives each buffer a twelfth of the memory. Once the answers being read hold more, the largest ends as AnswerTooLarge (624): unknown, tried elsewhere where it may be repeated, a failure of its upstream, event 6019 and fuchsiastep_upstream_answers_too_large_total. Interim answers share the bound of one head.

Weighed: one count for the process (the request that asks last pays for the one that filled it); pausing the upstream (an endless answer holds its slot and bytes until its deadline).

Evidence: testAnswersWithoutEndShareOneLimit (1, 4 and 16 requests) and testInterimResponsesAreBounded fail without the change and pass now, also under the sanitizers.

--- a/Libraries/LibCore/ErrorCode.h
+++ b/Libraries/LibCore/ErrorCode.h
@@ -73,6 +73,7 @@
     HeadTooLarge = 621,
     HeadTimeout = 622,
     PlacementDeclined = 623,
+    AnswerTooLarge = 624,
 
     OperatorRequestMalformed = 700,
     WaitTimeout = 701,
--- a/Libraries/LibCore/LogEvent.cpp
+++ b/Libraries/LibCore/LogEvent.cpp
@@ -88,6 +88,10 @@
         "SuspectChanged",
         LogLevel::Info,
         "This proxy knows of another crash with a request in flight, or that the request has run alone to its end."},
+    LogEventInfo {LogEvent::UpstreamAnswerTooLarge,
+        "UpstreamAnswerTooLarge",
+        LogLevel::Warning,
+        "The upstream wrote more than this proxy can hold, or no end; its connection was closed."},
     LogEventInfo {LogEvent::OperatorRequestRejected, "OperatorRequestRejected", LogLevel::Info, "An operator request is not valid."},
 };
 
--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -68,6 +68,7 @@
     RunStarted = 6016,
     RunEnded = 6017,
     SuspectChanged = 6018,
+    UpstreamAnswerTooLarge = 6019,
 
     OperatorRequestRejected = 7000,
 };
--- a/Libraries/LibHttp/HttpParser.cpp
+++ b/Libraries/LibHttp/HttpParser.cpp
@@ -84,6 +84,14 @@
     return {ErrorCode::RequestMalformed, error.message()};
 }
 
+Error responseError(const boost::system::error_code &error)
+{
+    const bool isTooLarge = error == Http::error::body_limit || error == Http::error::header_limit;
+    return {isTooLarge ? ErrorCode::AnswerTooLarge : ErrorCode::AnswerTruncated, error.message()};
+}
+
+constexpr std::uint16_t FirstFinalStatus = 200;
+
 } // namespace
 
 struct HttpParser::State
@@ -96,6 +104,10 @@
     bool hasStarted = false;
     bool isContinueTold = false;
     bool isBodyForbidden = false;
+    /// Taken of the current message.
+    std::size_t messageBytes = 0;
+    /// Size of the interim responses before the current message.
+    std::size_t interimBytes = 0;
 
     State(Kind wantedKind, const HttpLimits &wantedLimits) : kind(wantedKind), limits(wantedLimits)
     {
@@ -123,6 +135,7 @@
         }
         hasStarted = false;
         isContinueTold = false;
+        messageBytes = 0;
     }
 
     std::size_t unread() const
@@ -166,15 +179,17 @@
         boost::system::error_code error;
         hasStarted = true;
         try {
-            inputBegin += current.put(boost::asio::const_buffer(input.data() + inputBegin, unread()), error);
+            const std::size_t taken = current.put(boost::asio::const_buffer(input.data() + inputBegin, unread()), error);
+            inputBegin += taken;
+            messageBytes += taken;
         } catch (const std::length_error &exception) {
             // The library stores no field name, value or target of 64 KiB or more.
-            return Error {kind == Kind::Request ? ErrorCode::HeadTooLarge : ErrorCode::AnswerTruncated, exception.what()};
+            return Error {kind == Kind::Request ? ErrorCode::HeadTooLarge : ErrorCode::AnswerTooLarge, exception.what()};
         } catch (const std::exception &exception) {
-            return Error {kind == Kind::Request ? ErrorCode::BodyTooLarge : ErrorCode::AnswerTruncated, exception.what()};
+            return Error {kind == Kind::Request ? ErrorCode::BodyTooLarge : ErrorCode::AnswerTooLarge, exception.what()};
         }
         if (error && error != Http::error::need_more) {
-            return kind == Kind::Request ? requestError(error) : Error {ErrorCode::AnswerTruncated, error.message()};
+            return kind == Kind::Request ? requestError(error) : responseError(error);
         }
         if (current.is_header_done()) {
             current.eager(true);
@@ -199,12 +214,14 @@
             // Bodies are read as they arrive, so that what waits here is part of a head, of the size of a chunk or of a
             // trailer. The library bounds the first only.
             if (unread() > limits.headBytes) {
-                const ErrorCode code = kind == Kind::Request ? ErrorCode::HeadTooLarge : ErrorCode::AnswerTruncated;
+                const ErrorCode code = kind == Kind::Request ? ErrorCode::HeadTooLarge : ErrorCode::AnswerTooLarge;
                 return Error {code, "more than " + std::to_string(limits.headBytes) + " bytes of framing"};
             }
             return std::optional<HttpMessage>();
         }
         std::optional<HttpMessage> message = takeMessage(current);
+        const bool isInterim = kind == Kind::Response && message->status < FirstFinalStatus;
+        interimBytes = isInterim ? interimBytes + messageBytes : 0;
         restart();
         return message;
     }
@@ -224,7 +241,6 @@
 
 Result<std::optional<HttpMessage>> HttpParser::tryNext()
 {
-    constexpr std::uint16_t FirstFinalStatus = 200;
     if (auto *request = std::get_if<RequestParser>(&m_state->parser)) {
         return m_state->advance(*request);
     }
@@ -234,6 +250,10 @@
         if (!isInterim) {
             return next;
         }
+        if (m_state->interimBytes > m_state->limits.headBytes) {
+            return Error {
+                ErrorCode::AnswerTooLarge, "more than " + std::to_string(m_state->limits.headBytes) + " bytes of interim responses"};
+        }
     }
 }
 
@@ -272,6 +292,20 @@
     return !m_state->hasStarted && m_state->unread() == 0;
 }
 
+std::size_t HttpParser::bytesHeld() const
+{
+    const std::size_t bodyBytes = std::visit(
+        [](const auto &parser) -> std::size_t {
+            if constexpr (std::is_same_v<std::decay_t<decltype(parser)>, std::monostate>) {
+                return 0;
+            } else {
+                return parser.get().body().size();
+            }
+        },
+        m_state->parser);
+    return bodyBytes + m_state->unread();
+}
+
 bool HttpParser::hasHead() const
 {
     return std::visit(
--- a/Libraries/LibHttp/HttpParser.h
+++ b/Libraries/LibHttp/HttpParser.h
@@ -29,7 +29,8 @@
     void append(std::string_view bytes);
 
     /// The next whole message, or nothing while it is incomplete. Interim responses (1xx) are skipped. Fails with
-    /// RequestMalformed, HeadTooLarge or BodyTooLarge; for responses with AnswerTruncated where they are malformed.
+    /// RequestMalformed, HeadTooLarge or BodyTooLarge; for responses with AnswerTooLarge beyond the limits, which interim
+    /// responses before one response share, and with AnswerTruncated where they are malformed.
     Result<std::optional<HttpMessage>> tryNext();
     /// The peer ended the connection in order: the last message, where it is framed by that end. Fails with AnswerTruncated
     /// where a message is incomplete.
@@ -40,6 +41,8 @@
 
     /// No byte of a further message has arrived.
     bool isBetweenMessages() const;
+    /// Bytes kept of a message that is not complete.
+    std::size_t bytesHeld() const;
     /// The head of the current message is complete, and its body is not.
     bool hasHead() const;
     /// The current request waits for "100 Continue". True once for each request.
--- a/Libraries/LibProxy/ProxySettings.cpp
+++ b/Libraries/LibProxy/ProxySettings.cpp
@@ -211,6 +211,8 @@
         constexpr std::int64_t MaximumRequestBodyBytes = 1000 * 1024; // A request travels in one frame of 1 MiB with its headers.
         constexpr std::int64_t MaximumAnswerBodyBytes = 256 * 1024 * 1024;
         constexpr double MaximumGraceSeconds = 600;
+        constexpr double MaximumMemoryMegabytes = 1e6;
+        constexpr double BytesPerMegabyte = 1e6;
         const JsonValue *value = parent.optionalValue("limits");
         if (value == nullptr) {
             return;
@@ -226,6 +228,11 @@
         limits.queueTime = milliseconds(reader, "queue_ms", limits.queueTime, 0);
         limits.drainTime = milliseconds(reader, "drain_ms", limits.drainTime, 0);
         limits.lingerTime = milliseconds(reader, "linger_ms", limits.lingerTime, 0);
+        const double memoryMegabytes = reader.optionalNumber("memory_mb", 0, 0, MaximumMemoryMegabytes);
+        if (memoryMegabytes > 0) {
+            limits.bufferBytes = LimitSettings::bufferBytesWithin(static_cast<std::uint64_t>(memoryMegabytes * BytesPerMegabyte));
+        }
+        limits.answerBodyBytes = std::min(limits.answerBodyBytes, limits.bufferBytes);
         const double graceSeconds = reader.optionalNumber("grace_s", 0, 0, MaximumGraceSeconds);
         if (graceSeconds > 0) {
             limits.drainTime =
--- a/Libraries/LibProxy/ProxySettings.h
+++ b/Libraries/LibProxy/ProxySettings.h
@@ -74,6 +74,9 @@
 {
     std::uint64_t requestBodyBytes = 768 * 1024;
     std::uint64_t answerBodyBytes = 16 * 1024 * 1024;
+    /// Bytes that each of these may keep: answers that the upstream is writing, answers on their way to other proxies,
+    /// requests and answers of own callers, and answers that own callers have not read.
+    std::uint64_t bufferBytes = 64ULL * 1024 * 1024;
     std::uint32_t requestsInFlight = 1024;
     std::uint32_t queuePerSlot = 4;
     Duration queueTime = std::chrono::milliseconds(500);
@@ -82,6 +85,14 @@
     /// How long a draining proxy goes on taking calls, so that its callers have time to go elsewhere.
     Duration lingerTime {0};
 
+    /// The buffers of a process that may use \a memoryBytes. All four together are a third of it, since a body exists more
+    /// than once while it grows or is passed on, and the rest of the process has to fit as well.
+    static std::uint64_t bufferBytesWithin(std::uint64_t memoryBytes)
+    {
+        constexpr std::uint64_t ShareOfMemory = 12;
+        return memoryBytes / ShareOfMemory;
+    }
+
     /// The drain time of a process that is killed \a grace after it was told to end: what is left hands over the last
     /// answers and takes leave of the fleet.
     static Duration drainTimeWithin(Duration grace)
--- a/Libraries/LibProxy/RequestSettings.cpp
+++ b/Libraries/LibProxy/RequestSettings.cpp
@@ -8,6 +8,7 @@
     settings.maximumInFlight = limits.requestsInFlight;
     settings.maximumRequestBytes = limits.requestBodyBytes;
     settings.maximumAnswerBytes = limits.answerBodyBytes;
+    settings.maximumBufferedBytes = limits.bufferBytes;
     return settings;
 }
 
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -41,8 +41,10 @@
     , m_transfers(transferSettings(settings), clock)
     , m_ledger(ledgerSettings(settings, incarnation), clock, random)
     , m_drain({settings.limits.lingerTime, settings.limits.drainTime}, clock)
-    , m_upstreamClient(
-          clock, protocol, settings.limits.answerBodyBytes, [this](UpstreamClientEvent event) { handleUpstream(std::move(event)); })
+    , m_upstreamClient(clock,
+          protocol,
+          {settings.limits.answerBodyBytes, settings.limits.bufferBytes},
+          [this](UpstreamClientEvent event) { handleUpstream(std::move(event)); })
     , m_callers(settings.limits.requestBodyBytes, [this](HttpServerEvent event) { handleCallers(std::move(event)); })
     , m_timer(clock, [this] { runDue(); })
     , m_mailbox([this](RequestTaskMessage message) {
@@ -348,7 +350,14 @@
                    [this](const UpstreamRequestFailed &failed) {
                        m_metrics.count("fuchsiastep_upstream_failures_total");
                        logEvent(LogEvent::RunEnded, {{"run", failed.localId}, {"error", describe(failed.error)}});
-                       const UpstreamFailed failure {failed.localId, failed.mayHaveRun};
+                       if (failed.error.code == ErrorCode::AnswerTooLarge) {
+                           m_metrics.count("fuchsiastep_upstream_answers_too_large_total");
+                           logEvent(LogEvent::UpstreamAnswerTooLarge,
+                               {{"upstream", m_upstream ? m_upstream->upstreamId : std::string()},
+                                   {"run", failed.localId},
+                                   {"error", describe(failed.error)}});
+                       }
+                       const UpstreamFailed failure {failed.localId, failed.mayHaveRun, failed.error.code};
                        if (failed.isConnectionBroken && failed.mayHaveRun) {
                            m_unconfirmedFailures.push_back(failure);
                        } else {
--- a/Libraries/LibProxy/UpstreamClient.cpp
+++ b/Libraries/LibProxy/UpstreamClient.cpp
@@ -52,12 +52,8 @@
     { }
 };
 
-UpstreamClient::UpstreamClient(const Clock &clock, const EdgeProtocol &protocol, std::uint64_t maximumAnswerBytes, EventHandler onEvent)
-    : m_clock(clock)
-    , m_protocol(protocol)
-    , m_maximumAnswerBytes(maximumAnswerBytes)
-    , m_onEvent(std::move(onEvent))
-    , m_expiryTimer(clock, [this] { expireRuns(); })
+UpstreamClient::UpstreamClient(const Clock &clock, const EdgeProtocol &protocol, const UpstreamAnswerLimits &limits, EventHandler onEvent)
+    : m_clock(clock), m_protocol(protocol), m_limits(limits), m_onEvent(std::move(onEvent)), m_expiryTimer(clock, [this] { expireRuns(); })
 { }
 
 UpstreamClient::~UpstreamClient() = default;
@@ -104,7 +100,7 @@
 UpstreamClient::Connection &UpstreamClient::openConnection()
 {
     const std::uint64_t id = m_nextConnectionId++;
-    auto connection = std::make_unique<Connection>(HttpLimits {MaximumHeadBytes, m_maximumAnswerBytes});
+    auto connection = std::make_unique<Connection>(HttpLimits {MaximumHeadBytes, m_limits.answerBytes});
     connection->id = id;
     connection->stream = TcpStream::connect(
         m_address, [this, id](std::string_view bytes) { receive(id, bytes); }, [this, id](const StreamEnd &how) { end(id, how); });
@@ -179,9 +175,33 @@
         }
     }
     // The parser bounds each message, but not how many precede the answer.
-    if (connection.stream->bytesReceived() - connection.earlierBytes > 2 * m_maximumAnswerBytes + MaximumHeadBytes) {
-        fail(connectionId, true, false, {ErrorCode::AnswerTruncated, "the upstream writes without end"});
+    if (connection.stream->bytesReceived() - connection.earlierBytes > 2 * m_limits.answerBytes + MaximumHeadBytes) {
+        fail(connectionId, true, false, {ErrorCode::AnswerTooLarge, "the upstream writes without end"});
+        return;
+    }
+    endLargestBeyondLimit();
+}
+
+std::uint64_t UpstreamClient::bytesHeld() const
+{
+    std::uint64_t held = 0;
+    for (const auto &[id, connection] : m_connections) {
+        held += connection->parser.bytesHeld();
     }
+    return held;
+}
+
+void UpstreamClient::endLargestBeyondLimit()
+{
+    const std::uint64_t held = bytesHeld();
+    if (held <= m_limits.readBytes) {
+        return;
+    }
+    const auto isSmaller = [](const auto &left, const auto &right) {
+        return left.second->parser.bytesHeld() < right.second->parser.bytesHeld();
+    };
+    const auto largest = std::max_element(m_connections.begin(), m_connections.end(), isSmaller);
+    fail(largest->first, true, false, {ErrorCode::AnswerTooLarge, "the largest of answers with " + std::to_string(held) + " bytes"});
 }
 
 void UpstreamClient::complete(Connection &connection, HttpMessage message, UpstreamAnswerKind kind)
--- a/Libraries/LibProxy/UpstreamClient.h
+++ b/Libraries/LibProxy/UpstreamClient.h
@@ -40,6 +40,15 @@
     Error error;
 };
 
+/// Sizes that an upstream may use up in a proxy.
+struct UpstreamAnswerLimits
+{
+    /// Body of one answer.
+    std::uint64_t answerBytes = 16ULL * 1024 * 1024;
+    /// Answers that are being read, together. Beyond it the largest one ends as failed.
+    std::uint64_t readBytes = 64ULL * 1024 * 1024;
+};
+
 using UpstreamClientEvent = std::variant<UpstreamAnswered, UpstreamRequestFailed>;
 
 /// Sends requests to the upstream beside this proxy over HTTP/1.1, one at a time on each connection. Connections are kept
@@ -51,7 +60,7 @@
     using EventHandler = std::function<void(UpstreamClientEvent event)>;
 
     /// \a protocol outlives the client.
-    UpstreamClient(const Clock &clock, const EdgeProtocol &protocol, std::uint64_t maximumAnswerBytes, EventHandler onEvent);
+    UpstreamClient(const Clock &clock, const EdgeProtocol &protocol, const UpstreamAnswerLimits &limits, EventHandler onEvent);
     ~UpstreamClient();
     UpstreamClient(const UpstreamClient &) = delete;
     UpstreamClient &operator=(const UpstreamClient &) = delete;
@@ -65,6 +74,9 @@
     /// Breaks off a request; its end is still told, as UpstreamRequestFailed.
     void abort(std::uint64_t localId);
 
+    /// Bytes kept of answers that are being read.
+    std::uint64_t bytesHeld() const;
+
     /// Opens a connection and tells whether the upstream still listens. An upstream that refuses connections is gone.
     void checkListening(std::function<void(bool isListening)> onResult);
 
@@ -79,11 +91,12 @@
     void end(std::uint64_t connectionId, const StreamEnd &how);
     void complete(Connection &connection, HttpMessage message, UpstreamAnswerKind kind);
     void fail(std::uint64_t connectionId, bool mayHaveRun, bool isConnectionBroken, Error error);
+    void endLargestBeyondLimit();
     void expireRuns();
 
     const Clock &m_clock;
     const EdgeProtocol &m_protocol;
-    std::uint64_t m_maximumAnswerBytes;
+    UpstreamAnswerLimits m_limits;
     EventHandler m_onEvent;
     SocketAddress m_address;
     std::uint32_t m_maximumConnections = 0;
--- a/Libraries/LibRequest/GateInput.h
+++ b/Libraries/LibRequest/GateInput.h
@@ -82,6 +82,8 @@
     LocalId localId = 0;
     /// Any byte of the request may have reached the upstream.
     bool isAnyByteSent = true;
+    /// AnswerTooLarge is passed on to the caller side; any other reason is OutcomeUnknown there.
+    ErrorCode reason = ErrorCode::OutcomeUnknown;
 };
 
 /// The upstream process is gone, with everything that it ran. Comes before or instead of UpstreamFailed.
--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -232,7 +232,11 @@
     if (entry.hasClaim) {
         m_outputs.emplace_back(ClaimFinished {failed.localId, RequestOutcome::Unknown, ErrorCode::OutcomeUnknown, 0, {}, {}});
     }
-    answerWithout(entry, RequestOutcome::Unknown, ErrorCode::OutcomeUnknown, "the upstream gave no answer");
+    if (failed.reason == ErrorCode::AnswerTooLarge) {
+        answerWithout(entry, RequestOutcome::Unknown, ErrorCode::AnswerTooLarge, "the upstream wrote more than its proxy can hold");
+    } else {
+        answerWithout(entry, RequestOutcome::Unknown, ErrorCode::OutcomeUnknown, "the upstream gave no answer");
+    }
     finishRun(failed.localId);
 }
 
--- a/Tests/LibHttp/TestHttpParser.cpp
+++ b/Tests/LibHttp/TestHttpParser.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(testMessagesAreCutAtEveryByte);
     CPPUNIT_TEST(testSizesBeyondTheLimits);
     CPPUNIT_TEST(testFieldsThatTheLibraryDoesNotStore);
+    CPPUNIT_TEST(testInterimResponsesAreBounded);
     CPPUNIT_TEST(testConnectionFieldsAreNotPassedOn);
     CPPUNIT_TEST(testSerializedMessagesAreReadBack);
     CPPUNIT_TEST(testContinueIsWantedOnce);
@@ -149,12 +150,16 @@
             "1001", "4294967296", "4000000000000000", "9223372036854775807", "18446744073709551615", "18446744073709551616", "4e15"};
         const std::vector<std::string> chunkSizes {"3e9", "100000000", "7fffffffffffffff", "ffffffffffffffff", "10000000000000000"};
         std::vector<std::string> framings;
+        framings.reserve(lengths.size() + 2 * chunkSizes.size());
+        const auto add = [&](std::string_view head, std::string_view size) {
+            framings.emplace_back(head).append(size).append("\r\n").append(body);
+        };
         for (const std::string &length : lengths) {
-            framings.push_back("Content-Length: " + length + "\r\n\r\n" + body);
+            add("Content-Length: ", length + "\r\n");
         }
         for (const std::string &size : chunkSizes) {
-            framings.push_back("Transfer-Encoding: chunked\r\n\r\n" + size + "\r\n" + body);
-            framings.push_back("Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n" + size + "\r\n" + body);
+            add("Transfer-Encoding: chunked\r\n\r\n", size);
+            add("Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", size);
         }
         for (const std::string &framing : framings) {
             for (std::size_t step = 1; step <= request.size() + framing.size(); ++step) {
@@ -191,6 +196,27 @@
         }
     }
 
+    // Guards against interim responses without end, each of which keeps to the limit on heads.
+    void testInterimResponsesAreBounded()
+    {
+        const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+        const std::string last = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+        const auto withInterim = [&](std::size_t count) {
+            std::string bytes;
+            for (std::size_t number = 0; number < count; ++number) {
+                bytes += interim;
+            }
+            return bytes + last;
+        };
+        const std::size_t most = Limits.headBytes / interim.size();
+        const std::string bytes = withInterim(most) + withInterim(most);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), read(HttpParser::Kind::Response, bytes, bytes.size(), false).messages.size());
+        for (const std::size_t step : {std::size_t(1), std::size_t(7), withInterim(most + 1).size()}) {
+            const Reading reading = read(HttpParser::Kind::Response, withInterim(most + 1), step, false);
+            CPPUNIT_ASSERT(reading.error == ErrorCode::AnswerTooLarge && reading.messages.empty());
+        }
+    }
+
     // Guards against a reading that depends on how the network cuts the bytes.
     void testMessagesAreCutAtEveryByte()
     {
--- a/Tests/LibProxy/TestProxySettings.cpp
+++ b/Tests/LibProxy/TestProxySettings.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(TestProxySettings);
     CPPUNIT_TEST(testCompleteSettings);
     CPPUNIT_TEST(testDrainEndsWithinTheGrace);
+    CPPUNIT_TEST(testBuffersFitIntoTheMemory);
     CPPUNIT_TEST(testEveryWrongFieldIsNamed);
     CPPUNIT_TEST(testAllErrorsAreReportedTogether);
     CPPUNIT_TEST(testUnreadableFile);
@@ -71,6 +72,32 @@
         }
     }
 
+    // Guards against buffers that are sized without regard to the memory that the process may use.
+    void testBuffersFitIntoTheMemory()
+    {
+        struct Case
+        {
+            std::string limits;
+            std::uint64_t bufferBytes;
+            std::uint64_t answerBytes;
+        };
+        constexpr std::uint64_t Mebibyte = 1024 * 1024;
+        const std::vector<Case> cases {
+            {R"("limits":{})", 64 * Mebibyte, 16 * Mebibyte},
+            {R"("limits":{"memory_mb":0})", 64 * Mebibyte, 16 * Mebibyte},
+            {R"("limits":{"memory_mb":96})", 8'000'000, 8'000'000},
+            {R"("limits":{"memory_mb":96,"answer_body_bytes":2000000})", 8'000'000, 2'000'000},
+            {R"("limits":{"memory_mb":480})", 40'000'000, 16 * Mebibyte},
+        };
+        for (const Case &item : cases) {
+            std::vector<Error> errors;
+            const Result<ProxySettings> parsed = ProxySettings::tryParse(complete(item.limits), errors);
+            CPPUNIT_ASSERT_MESSAGE(item.limits, !isError(parsed));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.limits, item.bufferBytes, valueOf(parsed).limits.bufferBytes);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.limits, item.answerBytes, valueOf(parsed).limits.answerBodyBytes);
+        }
+    }
+
     // Guards against wrong settings that a proxy starts with, and against errors that do not say where they are.
     void testEveryWrongFieldIsNamed()
     {
@@ -133,6 +160,8 @@
             {complete(R"("limits":{"drain_ms":true})"), ErrorCode::SettingsWrongType, "$.limits.drain_ms"},
             {complete(R"("limits":{"grace_s":"6"})"), ErrorCode::SettingsWrongType, "$.limits.grace_s"},
             {complete(R"("limits":{"grace_s":-1})"), ErrorCode::SettingsOutOfRange, "$.limits.grace_s"},
+            {complete(R"("limits":{"memory_mb":-1})"), ErrorCode::SettingsOutOfRange, "$.limits.memory_mb"},
+            {complete(R"("limits":{"memory_mb":"96"})"), ErrorCode::SettingsWrongType, "$.limits.memory_mb"},
             {complete(R"("limits":{"grace_s":601})"), ErrorCode::SettingsOutOfRange, "$.limits.grace_s"},
             {complete(R"("seeds":["127.0.0.1:1","x"])"), ErrorCode::SettingsOutOfRange, "$.seeds[1]"},
             {complete(R"("seeds":"127.0.0.1:1")"), ErrorCode::SettingsWrongType, "$.seeds"},
--- a/Tests/LibRequest/TestUpstreamGate.cpp
+++ b/Tests/LibRequest/TestUpstreamGate.cpp
@@ -317,6 +317,7 @@
         };
         const std::vector<Case> cases {
             {UpstreamFailed {1, true}, RequestOutcome::Unknown, ErrorCode::OutcomeUnknown, false},
+            {UpstreamFailed {1, true, ErrorCode::AnswerTooLarge}, RequestOutcome::Unknown, ErrorCode::AnswerTooLarge, false},
             {UpstreamFailed {1, false}, RequestOutcome::NotRun, ErrorCode::NoUpstream, true},
             {UpstreamAnswer {1, 503, {}, {}, true}, RequestOutcome::NotRun, ErrorCode::UpstreamRefused, true},
             {UpstreamAnswer {1, 503, {}, {}, false}, RequestOutcome::Answered, ErrorCode::None, false},
--- a/Tests/platform/TestUpstreamAnswers.cpp
+++ b/Tests/platform/TestUpstreamAnswers.cpp
@@ -5,7 +5,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <optional>
+#include <vector>
 
 namespace Fuchsiastep {
 
@@ -17,10 +19,12 @@
     CPPUNIT_TEST(testRefusedRequestTakesAnotherConnection);
     CPPUNIT_TEST(testRefusalsWithoutIdsEndTheConnection);
     CPPUNIT_TEST(testAnswersWithoutEnd);
+    CPPUNIT_TEST(testAnswersWithoutEndShareOneLimit);
     CPPUNIT_TEST(testAnswersThatEndEarly);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t MaximumAnswerBytes = 4ULL * 1024 * 1024;
+    static constexpr std::uint64_t MaximumReadBytes = 6ULL * 1024 * 1024;
 
     static EdgeProtocol protocol(EdgeKind kind)
     {
@@ -32,12 +36,16 @@
     struct Fixture
     {
         explicit Fixture(ScriptedUpstream::Script script, EdgeKind kind = EdgeKind::Platform)
-            : upstream(std::move(script)), edge(protocol(kind)), client(clock, edge, MaximumAnswerBytes, [this](UpstreamClientEvent event) {
-                last = std::move(event);
+            : upstream(std::move(script))
+            , edge(protocol(kind))
+            , client(clock, edge, {MaximumAnswerBytes, MaximumReadBytes}, [this](UpstreamClientEvent event) {
+                const std::uint64_t localId = std::visit([](const auto &ended) { return ended.localId; }, event);
+                last = event;
+                endOf.insert_or_assign(localId, std::move(event));
                 ++ends;
             })
         {
-            client.setUpstream(upstream.address(), 10);
+            client.setUpstream(upstream.address(), 20);
         }
 
         void start(const std::string &id)
@@ -70,6 +78,7 @@
         std::uint64_t started = 0;
         std::uint64_t ends = 0;
         std::optional<UpstreamClientEvent> last;
+        std::map<std::uint64_t, UpstreamClientEvent> endOf;
         UpstreamClient client;
     };
 
@@ -181,12 +190,55 @@
             const auto *failed = std::get_if<UpstreamRequestFailed>(&fixture.last.value());
             CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.name == "bytes behind the answer", failed == nullptr);
             CPPUNIT_ASSERT_MESSAGE(item.name, failed == nullptr || failed->mayHaveRun);
+            const bool isMalformed = item.name == "no HTTP";
+            const ErrorCode code = isMalformed ? ErrorCode::AnswerTruncated : ErrorCode::AnswerTooLarge;
+            CPPUNIT_ASSERT_MESSAGE(
+                item.name + ": " + (failed != nullptr ? describe(failed->error) : ""), failed == nullptr || failed->error.code == code);
             CPPUNIT_ASSERT_MESSAGE(item.name, runUntil([&] { return fixture.upstream.openConnections() == 0; }));
             // The kernel holds some megabytes more.
             CPPUNIT_ASSERT_MESSAGE(item.name, fixture.upstream.bytesWritten() < 6 * MaximumAnswerBytes);
         }
     }
 
+    // Guards against memory that grows with the number of endless answers, each of which keeps to the limit of one answer; and
+    // against the end of a smaller answer of the same upstream in their place.
+    void testAnswersWithoutEndShareOneLimit()
+    {
+        const std::string own = "HTTP/1.1 200 X\r\n";
+        const std::string chunked = own + "Transfer-Encoding: chunked\r\n\r\n";
+        const std::string length = std::to_string(MaximumAnswerBytes);
+        const std::vector<ScriptedUpstream::Reply> replies {
+            {"", "x"},
+            {own, "Field: value\r\n"},
+            {own + "\r\n", "x"},
+            {own + "Content-Length: " + length + "\r\nRequest-Id: other\r\n\r\n", "x"},
+            {chunked, "4\r\nbody\r\n"},
+            {chunked, "fff;x=y\r\n" + std::string(4095, 'b') + "\r\n"},
+        };
+        // An answer that is never whole, of which a few bytes are there.
+        const ScriptedUpstream::Reply unfinished {own + "Content-Length: 1000\r\n\r\nbody"};
+        for (const ScriptedUpstream::Reply &reply : replies) {
+            for (const std::uint64_t count : {1U, 4U, 16U}) {
+                const std::string where = std::to_string(count) + " times " + reply.bytes + reply.endless.substr(0, 20);
+                Fixture fixture([&](std::size_t connection, std::size_t) { return connection == 0 ? unfinished : reply; });
+                for (std::uint64_t request = 0; request <= count; ++request) {
+                    fixture.start("r" + std::to_string(request));
+                }
+                std::uint64_t mostHeld = 0;
+                CPPUNIT_ASSERT_MESSAGE(where, runUntil([&] {
+                    mostHeld = std::max(mostHeld, fixture.client.bytesHeld());
+                    return fixture.ends == count;
+                }));
+                CPPUNIT_ASSERT_MESSAGE(where, !fixture.endOf.contains(1));
+                for (const auto &[localId, event] : fixture.endOf) {
+                    CPPUNIT_ASSERT_MESSAGE(where, std::holds_alternative<UpstreamRequestFailed>(event));
+                    CPPUNIT_ASSERT_MESSAGE(where, std::get<UpstreamRequestFailed>(event).mayHaveRun);
+                }
+                CPPUNIT_ASSERT_MESSAGE(where + " held " + std::to_string(mostHeld), mostHeld <= MaximumReadBytes);
+            }
+        }
+    }
+
     // Guards against a whole answer with an empty or short body where the upstream ends the connection inside the head, or
     // inside a body whose length it has told: after every byte of each kind of framing, on both protocols.
     void testAnswersThatEndEarly()
