Let the upstream wait while answers cannot leave, and move bodies

Cause: answers that wait for the proxy of their caller had no bound, and a body was copied up to five times on its way through the gate, the protocol and the callers' server.

Change: the upstream is not read while the waiting answers exceed their buffer. Bodies are moved; an answer is put together by releasing its parts as they are appended.

Evidence: testReadingCanBePaused and testUpstreamIsNotReadWhileAnswersCannotLeave fail where the pause has no effect, and pass now, also under the sanitizers.

--- a/Libraries/LibProxy/CallParser.cpp
+++ b/Libraries/LibProxy/CallParser.cpp
@@ -66,14 +66,14 @@
     return call;
 }
 
-HttpAnswer formatCallAnswer(const CallerAnswer &answer)
+HttpAnswer formatCallAnswer(CallerAnswer answer)
 {
     HttpAnswer http;
     http.token = answer.token;
     if (answer.outcome == RequestOutcome::Answered) {
         http.status = answer.status;
-        http.headers = answer.headers;
-        http.body = answer.body;
+        http.headers = std::move(answer.headers);
+        http.body = std::move(answer.body);
     } else {
         JsonValue::Object body = describeAsJson({answer.code, answer.detail});
         body["outcome"] = nameOf(answer.outcome);
--- a/Libraries/LibProxy/CallParser.h
+++ b/Libraries/LibProxy/CallParser.h
@@ -33,6 +33,6 @@
 Result<Call> tryParseCall(HttpRequest request);
 
 /// The HTTP form of an answer: the upstream's own for an answered call, else a JSON body that names the code.
-HttpAnswer formatCallAnswer(const CallerAnswer &answer);
+HttpAnswer formatCallAnswer(CallerAnswer answer);
 
 } // namespace Fuchsiastep
--- a/Libraries/LibProxy/EdgeProtocol.h
+++ b/Libraries/LibProxy/EdgeProtocol.h
@@ -54,7 +54,7 @@
 {
     /// Fails with RequestMalformed, CallerNotAllowed or the rejection of the request.
     std::function<Result<Call>(HttpRequest request)> tryParseCall;
-    std::function<HttpAnswer(const CallerAnswer &answer)> formatAnswer;
+    std::function<HttpAnswer(CallerAnswer answer)> formatAnswer;
     /// The request as it is sent to the upstream. \a timeLeft is what the upstream is granted.
     std::function<HttpMessage(const RequestFrame &request, Duration timeLeft)> formatUpstreamRequest;
     std::function<UpstreamAnswerKind(const RequestFrame &request, const HttpMessage &answer, AnswerOrigin origin)> classifyAnswer;
--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -172,7 +172,7 @@
     m_onEvent(std::move(request));
 }
 
-void HttpServer::answer(const HttpAnswer &answer)
+void HttpServer::answer(HttpAnswer answer)
 {
     const auto known = m_connectionOfToken.find(answer.token);
     if (known == m_connectionOfToken.end()) {
@@ -187,8 +187,8 @@
     }
     HttpMessage message;
     message.status = answer.status;
-    message.headers = answer.headers;
-    message.body = answer.body;
+    message.headers = std::move(answer.headers);
+    message.body = std::move(answer.body);
     exchange->answer = std::move(message);
     writeAnswers(connection);
 }
@@ -201,7 +201,9 @@
         Exchange &exchange = connection.exchanges.front();
         const bool isLast = exchange.isLast || (m_isClosing && connection.exchanges.size() == 1);
         exchange.answer->isLast = isLast;
-        connection.stream->send(serializeResponse(*exchange.answer, exchange.isHead));
+        std::string bytes = serializeResponse(*exchange.answer, exchange.isHead);
+        exchange.answer.reset();
+        connection.stream->send(std::move(bytes));
         if (isLast) {
             connection.isReadingDone = true;
             connection.closesAt = m_clock.now() + LingerTime;
--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -81,7 +81,7 @@
     void setLimits(const HttpServerLimits &limits);
 
     /// Answers a request; has no effect where the client is gone.
-    void answer(const HttpAnswer &answer);
+    void answer(HttpAnswer answer);
     /// Requests that have no answer yet, or whose answer is still being written.
     std::size_t requestsOpen() const;
 
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -292,10 +292,10 @@
     answer.outcome = RequestOutcome::NotRun;
     answer.code = error.code;
     answer.detail = error.detail;
-    finishCall(answer);
+    finishCall(std::move(answer));
 }
 
-void RequestTask::finishCall(const CallerAnswer &answer)
+void RequestTask::finishCall(CallerAnswer answer)
 {
     const auto call = m_calls.find(answer.token);
     if (call == m_calls.end()) {
@@ -334,7 +334,7 @@
                 {"retry_after_us", answer.retryAfter.value_or(Duration(0)).count()}});
     }
     m_calls.erase(call);
-    m_callers.answer(m_protocol.formatAnswer(answer));
+    m_callers.answer(m_protocol.formatAnswer(std::move(answer)));
 }
 
 void RequestTask::handleUpstream(UpstreamClientEvent event)
@@ -422,7 +422,7 @@
                            m_coordinator.noteConnection(send.frame.requestId, m_links.sendTo(send.proxyId, send.address, send.frame));
                        },
                        [this](const SendCancel &cancel) { m_links.sendToOpen(cancel.proxyId, cancel.frame); },
-                       [this](const CallerAnswer &end) { finishCall(end); },
+                       [this](CallerAnswer &end) { finishCall(std::move(end)); },
                    },
             output);
     }
@@ -547,6 +547,8 @@
     if (!suspects.empty()) {
         m_onEvent(SuspectsChanged {std::move(suspects)});
     }
+    // Answers that cannot leave fill the memory; the upstream then has to wait as well.
+    m_upstreamClient.setReading(m_transfers.bytesWaiting() <= m_settings.limits.bufferBytes);
     updateGauges();
     std::optional<TimePoint> next = earliestDeadline({m_coordinator.nextDeadline(), m_gate.nextDeadline(), m_ledger.nextDeadline()});
     if (m_drain.isDraining() && !m_isDrainReported) {
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -155,7 +155,7 @@
     bool mayTake(const Call &call, const RouteRules &rules) const;
     void receiveRequest(const PeerFrameReceived &received, const RequestFrame &frame);
     void refuseCall(std::uint64_t token, const Error &error);
-    void finishCall(const CallerAnswer &answer);
+    void finishCall(CallerAnswer answer);
     void handleUpstream(UpstreamClientEvent event);
     void confirmCrash();
 
--- a/Libraries/LibProxy/UpstreamClient.cpp
+++ b/Libraries/LibProxy/UpstreamClient.cpp
@@ -104,6 +104,7 @@
     connection->id = id;
     connection->stream = TcpStream::connect(
         m_address, [this, id](std::string_view bytes) { receive(id, bytes); }, [this, id](const StreamEnd &how) { end(id, how); });
+    connection->stream->setReading(m_isReadingWanted);
     return *(m_connections[id] = std::move(connection));
 }
 
@@ -182,6 +183,17 @@
     endLargestBeyondLimit();
 }
 
+void UpstreamClient::setReading(bool isWanted)
+{
+    if (m_isReadingWanted == isWanted) {
+        return;
+    }
+    m_isReadingWanted = isWanted;
+    for (const auto &[id, connection] : m_connections) {
+        connection->stream->setReading(isWanted);
+    }
+}
+
 std::uint64_t UpstreamClient::bytesHeld() const
 {
     std::uint64_t held = 0;
--- a/Libraries/LibProxy/UpstreamClient.h
+++ b/Libraries/LibProxy/UpstreamClient.h
@@ -74,6 +74,8 @@
     /// Breaks off a request; its end is still told, as UpstreamRequestFailed.
     void abort(std::uint64_t localId);
 
+    /// Answers are not read while it is off, so that the upstream blocks. Their deadlines run on.
+    void setReading(bool isWanted);
     /// Bytes kept of answers that are being read.
     std::uint64_t bytesHeld() const;
 
@@ -104,6 +106,7 @@
     std::map<std::uint64_t, std::unique_ptr<Connection>> m_connections;
     std::map<std::uint64_t, std::unique_ptr<TcpStream>> m_checks;
     std::uint64_t m_nextCheckId = 1;
+    bool m_isReadingWanted = true;
     Timer m_expiryTimer;
 };
 
--- a/Libraries/LibRequest/AnswerAssembly.cpp
+++ b/Libraries/LibRequest/AnswerAssembly.cpp
@@ -70,9 +70,14 @@
 AnswerFrame AnswerAssembly::take()
 {
     AnswerFrame answer = std::move(*m_header);
+    if (m_parts.size() == 1) {
+        answer.body = std::move(m_parts.begin()->second);
+        return answer;
+    }
     answer.body.reserve(m_bytes);
-    for (const auto &[offset, body] : m_parts) {
-        answer.body += body;
+    while (!m_parts.empty()) {
+        answer.body += m_parts.begin()->second;
+        m_parts.erase(m_parts.begin());
     }
     return answer;
 }
--- a/Libraries/LibRequest/AnswerTransfers.h
+++ b/Libraries/LibRequest/AnswerTransfers.h
@@ -54,6 +54,11 @@
     {
         return m_transfers.empty();
     }
+    /// Bytes of answers that are kept here until they may leave.
+    std::uint64_t bytesWaiting() const
+    {
+        return m_bytesWaiting;
+    }
     /// Time until a further answer could begin to leave; 0 while the link was never full.
     Duration backlog() const;
     /// Time that this many bytes take; 0 while the link was never full.
--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -22,9 +22,9 @@
     : m_settings(settings), m_suspects(suspects), m_clock(clock), m_serviceTimes(settings.serviceTimes), m_transfers(settings.partBytes)
 { }
 
-std::vector<GateOutput> UpstreamGate::handle(const GateInput &input)
+std::vector<GateOutput> UpstreamGate::handle(GateInput input)
 {
-    std::visit([this](const auto &message) { apply(message); }, input);
+    std::visit([this](auto &message) { apply(message); }, input);
     return finishStep();
 }
 
@@ -162,7 +162,7 @@
     }
 }
 
-void UpstreamGate::apply(const UpstreamAnswer &upstreamAnswer)
+void UpstreamGate::apply(UpstreamAnswer &upstreamAnswer)
 {
     const auto found = m_entries.find(upstreamAnswer.localId);
     if (found == m_entries.end() || found->second.stage != Stage::Running) {
@@ -200,8 +200,8 @@
     AnswerFrame frame;
     frame.outcome = RequestOutcome::Answered;
     frame.status = upstreamAnswer.status;
-    frame.headers = upstreamAnswer.headers;
-    frame.body = upstreamAnswer.body;
+    frame.headers = std::move(upstreamAnswer.headers);
+    frame.body = std::move(upstreamAnswer.body);
     answer(entry, std::move(frame));
     finishRun(upstreamAnswer.localId);
 }
--- a/Libraries/LibRequest/UpstreamGate.h
+++ b/Libraries/LibRequest/UpstreamGate.h
@@ -42,7 +42,7 @@
 
     UpstreamGate(const Settings &settings, CrashSuspects &suspects, const Clock &clock);
 
-    std::vector<GateOutput> handle(const GateInput &input);
+    std::vector<GateOutput> handle(GateInput input);
     /// Drops queued requests whose time is over and aborts runs past their deadline.
     std::vector<GateOutput> advance();
     std::optional<TimePoint> nextDeadline() const;
@@ -98,7 +98,7 @@
     void apply(const PeerRequest &request);
     void apply(const PeerCancel &cancel);
     void apply(const PeerDisconnected &disconnected);
-    void apply(const UpstreamAnswer &answer);
+    void apply(UpstreamAnswer &answer);
     void apply(const UpstreamFailed &failed);
     void apply(const UpstreamCrashed &crashed);
     void apply(const DrainRequested &drain);
--- a/Libraries/LibWire/TcpStream.cpp
+++ b/Libraries/LibWire/TcpStream.cpp
@@ -18,6 +18,7 @@
     std::unique_ptr<SocketWatch> watch;
     GSource *connectTimer = nullptr;
     bool isConnecting = false;
+    bool isReadingWanted = true;
     bool mustFinish = false;
     bool hasPeerEnded = false;
     std::string output;
@@ -84,7 +85,7 @@
         }
         // What the peer sent before it broke the connection is still read.
         hasPeerEnded = readiness.hasPeerEnded;
-        if (readiness.isReadable) {
+        if (readiness.isReadable && isReadingWanted) {
             read();
         }
         if (readiness.isWritable && socket != nullptr && outputBegin < output.size()) {
@@ -135,7 +136,12 @@
             bytesSent += begin;
         }
         if (begin < bytes.size()) {
-            output.append(bytes, begin);
+            if (output.empty()) {
+                output = std::move(bytes);
+                outputBegin = begin;
+            } else {
+                output.append(bytes);
+            }
             watch->setWrites(true);
         }
     }
@@ -152,7 +158,7 @@
             }
             isConnecting = false;
             dropSource(connectTimer);
-            watch->setReads(true);
+            watch->setReads(isReadingWanted);
         }
         flush();
         if (socket != nullptr && outputBegin == output.size()) {
@@ -308,6 +314,17 @@
     }
 }
 
+void TcpStream::setReading(bool isWanted)
+{
+    if (m_state->isReadingWanted == isWanted) {
+        return;
+    }
+    m_state->isReadingWanted = isWanted;
+    if (m_state->socket != nullptr && !m_state->isConnecting) {
+        m_state->watch->setReads(isWanted);
+    }
+}
+
 void TcpStream::finishSending()
 {
     m_state->mustFinish = true;
--- a/Libraries/LibWire/TcpStream.h
+++ b/Libraries/LibWire/TcpStream.h
@@ -51,6 +51,9 @@
 
     /// Queues bytes. Has no effect on a closed stream.
     void send(std::string bytes);
+    /// Reads nothing while it is off: the peer blocks once the buffers of the operating system are full. Its end is not noticed
+    /// either.
+    void setReading(bool isWanted);
     /// Ends the own direction once everything is sent; bytes of the peer still arrive.
     void finishSending();
     /// Closes without telling the owner.
--- a/Tests/LibWire/TestTcpStream.cpp
+++ b/Tests/LibWire/TestTcpStream.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(testBytesBeforeTheEndAreRead);
     CPPUNIT_TEST(testStreamsMayEndEachOther);
     CPPUNIT_TEST(testLargeOutputIsFlushed);
+    CPPUNIT_TEST(testReadingCanBePaused);
     CPPUNIT_TEST_SUITE_END();
 
     /// Accepts connections and keeps what they receive.
@@ -129,6 +130,25 @@
         client->finishSending();
         CPPUNIT_ASSERT(runUntil([&] { return server.ends.size() == 1 && server.ends[0].isOrderly; }));
     }
+
+    // Guards against bytes that are read, and kept, although their reader has asked the peer to wait, and against a stream that
+    // stays silent after that.
+    void testReadingCanBePaused()
+    {
+        constexpr std::size_t Bytes = 32ULL * 1024 * 1024;
+        Server server;
+        const auto client = TcpStream::connect(
+            server.listener->address(), [](std::string_view) {}, [](const StreamEnd &) {});
+        CPPUNIT_ASSERT(runUntil([&] { return server.streams.size() == 1; }));
+        server.streams[0]->setReading(false);
+        client->send(std::string(Bytes, 'x'));
+        const gint64 end = g_get_monotonic_time() + 200'000;
+        runUntil([end] { return g_get_monotonic_time() > end; });
+        CPPUNIT_ASSERT(server.received[0].empty());
+        CPPUNIT_ASSERT(client->bytesQueued() > 0);
+        server.streams[0]->setReading(true);
+        CPPUNIT_ASSERT(runUntil([&] { return server.received[0].size() == Bytes; }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestTcpStream);
--- a/Tests/platform/TestUpstreamAnswers.cpp
+++ b/Tests/platform/TestUpstreamAnswers.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(testRefusalsWithoutIdsEndTheConnection);
     CPPUNIT_TEST(testAnswersWithoutEnd);
     CPPUNIT_TEST(testAnswersWithoutEndShareOneLimit);
+    CPPUNIT_TEST(testUpstreamIsNotReadWhileAnswersCannotLeave);
     CPPUNIT_TEST(testAnswersThatEndEarly);
     CPPUNIT_TEST_SUITE_END();
 
@@ -239,6 +240,20 @@
         }
     }
 
+    // Guards against answers that are read on while those before them cannot leave the instance.
+    void testUpstreamIsNotReadWhileAnswersCannotLeave()
+    {
+        Fixture fixture([&](std::size_t, std::size_t) { return ScriptedUpstream::Reply {answer(200, "Request-Id: r1\r\n", "done")}; });
+        fixture.client.setReading(false);
+        fixture.start("r1");
+        const TimePoint end = fixture.clock.now() + std::chrono::milliseconds(200);
+        runUntil([&] { return fixture.clock.now() > end; });
+        CPPUNIT_ASSERT(fixture.ends == 0 && fixture.client.bytesHeld() == 0);
+        fixture.client.setReading(true);
+        CPPUNIT_ASSERT(runUntil([&] { return fixture.ends == 1; }));
+        CPPUNIT_ASSERT_EQUAL(std::string("done"), fixture.answered().body);
+    }
+
     // Guards against a whole answer with an empty or short body where the upstream ends the connection inside the head, or
     // inside a body whose length it has told: after every byte of each kind of framing, on both protocols.
     void testAnswersThatEndEarly()
