End the largest unfinished answer when a proxy keeps too much

Cause: when the answers that are being put together exceeded the buffer, the one whose part had just arrived ended, so that a large answer of one upstream ended the small ones of others. The bound was 64 MiB whatever the memory is.

Change: the largest ends, as AnswerTooLarge.

Evidence: testLargestAnswerMakesRoom fails without the change and passes now.

--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -183,13 +183,33 @@
         endAnswered(token, pending);
         return;
     }
-    if (state == AnswerAssembly::State::Incomplete && m_bufferedBytes <= m_settings.maximumBufferedBytes) {
+    if (state == AnswerAssembly::State::Broken) {
+        endUnfinishedAnswer(token, ErrorCode::AnswerTruncated, "parts of the answer do not fit");
+    } else if (m_bufferedBytes > m_settings.maximumBufferedBytes) {
+        endLargestAnswer();
+    }
+}
+
+void RequestCoordinator::endLargestAnswer()
+{
+    const auto bytesOf = [](const auto &entry) -> std::uint64_t {
+        return entry.second.current ? entry.second.current->assembly.bytes() : 0;
+    };
+    const auto largest = std::max_element(
+        m_pending.begin(), m_pending.end(), [&](const auto &left, const auto &right) { return bytesOf(left) < bytesOf(right); });
+    if (largest == m_pending.end() || bytesOf(*largest) == 0) {
         return;
     }
+    endUnfinishedAnswer(largest->first, ErrorCode::AnswerTooLarge, "the largest of the answers that this proxy keeps");
+}
+
+void RequestCoordinator::endUnfinishedAnswer(CallerToken token, ErrorCode code, std::string detail)
+{
+    Pending &pending = m_pending.at(token);
     ++m_counts.truncatedAnswers;
-    m_outputs.emplace_back(SendCancel {answer.proxyId, {requestId}});
+    m_outputs.emplace_back(SendCancel {pending.current->endpoint->proxyId, {pending.current->requestId}});
     endTry(token, pending);
-    retryOrFinish(token, pending, RequestOutcome::Unknown, ErrorCode::AnswerTruncated, "parts of the answer do not fit");
+    retryOrFinish(token, pending, RequestOutcome::Unknown, code, std::move(detail));
 }
 
 void RequestCoordinator::apply(const PeerConnectionLost &lost)
--- a/Libraries/LibRequest/RequestCoordinator.h
+++ b/Libraries/LibRequest/RequestCoordinator.h
@@ -24,7 +24,8 @@
     struct Settings
     {
         std::size_t maximumInFlight = 10000;
-        /// Request bodies and answers that are kept at once, in bytes.
+        /// Request bodies and answers that are kept at once, in bytes. Beyond it the try with the largest part of an answer
+        /// ends.
         std::uint64_t maximumBufferedBytes = 64ULL * 1024 * 1024;
         /// A request travels in one frame of at most 1 MiB together with its headers.
         std::size_t maximumRequestBytes = 768ULL * 1024;
@@ -113,6 +114,8 @@
     void send(CallerToken token, Pending &pending, const Placement &placement, bool isIsolated);
     RequestFrame requestFrame(const Pending &pending, const Placement &placement) const;
     void endAnswered(CallerToken token, Pending &pending);
+    void endLargestAnswer();
+    void endUnfinishedAnswer(CallerToken token, ErrorCode code, std::string detail);
     void endTry(CallerToken token, Pending &pending);
     void finishAnswered(CallerToken token, AnswerFrame answer);
     static void noteEndOfOffer(Pending &pending, RequestOutcome outcome, ErrorCode code);
--- a/Tests/LibRequest/TestRequestCoordinator.cpp
+++ b/Tests/LibRequest/TestRequestCoordinator.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(testOutcomesAndRetries);
     CPPUNIT_TEST(testRefusedAtOnce);
     CPPUNIT_TEST(testBoundsOnRequestsAndBytes);
+    CPPUNIT_TEST(testLargestAnswerMakesRoom);
     CPPUNIT_TEST(testAnswersFromOtherConnectionsAreDropped);
     CPPUNIT_TEST(testOneIsolatedRunDecidesForAllLikeIt);
     CPPUNIT_TEST(testTrialsOfAllProxiesGoToOneUpstream);
@@ -241,6 +242,38 @@
         }
     }
 
+    // Guards against a large answer that uses up the memory, with the end of whichever small answer arrives next.
+    void testLargestAnswerMakesRoom()
+    {
+        RequestCoordinator::Settings settings;
+        settings.maximumBufferedBytes = 1000;
+        Fixture fixture(5, settings);
+        const auto part = [&fixture](std::size_t request, std::uint64_t bodyLength, std::uint64_t offset, std::size_t bytes) {
+            const SendRequest &sent = fixture.sent.at(request);
+            const std::uint64_t connection = std::stoul(sent.proxyId.substr(1));
+            const bool isLast = offset + bytes == bodyLength;
+            if (offset == 0) {
+                AnswerFrame head {sent.frame.requestId, RequestOutcome::Answered, ErrorCode::None, {}, 200, {}, {}, bodyLength, {}};
+                fixture.take(fixture.coordinator.handle(PeerAnswer {sent.proxyId, connection, 1, head}));
+            }
+            const AnswerPartFrame frame {sent.frame.requestId, offset, std::string(bytes, 'x'), isLast};
+            fixture.take(fixture.coordinator.handle(PeerAnswer {sent.proxyId, connection, 1, frame}));
+        };
+        fixture.send("POST", "large");
+        fixture.send("POST", "small");
+        part(0, 5000, 0, 800);
+        part(1, 300, 0, 200);
+        CPPUNIT_ASSERT(fixture.told.empty());
+        part(1, 300, 200, 50);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.told.size());
+        CPPUNIT_ASSERT(fixture.told[0].token == 1 && fixture.told[0].outcome == RequestOutcome::Unknown);
+        CPPUNIT_ASSERT(fixture.told[0].code == ErrorCode::AnswerTooLarge);
+        CPPUNIT_ASSERT(fixture.cancelled.size() == 1 && fixture.cancelled[0].frame.requestId == fixture.sent[0].frame.requestId);
+        part(1, 300, 250, 50);
+        CPPUNIT_ASSERT(fixture.told.size() == 2 && fixture.told[1].token == 2 && fixture.told[1].body == std::string(300, 'x'));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), fixture.coordinator.bufferedBytes());
+    }
+
     // Guards against an answer of an earlier process or another proxy with the same request id.
     void testAnswersFromOtherConnectionsAreDropped()
     {
