Bound the answers that callers do not read

Cause: answers for callers that read slowly were kept without a bound over the connections, and frames for a peer that does not read up to 64 MiB for each peer.

Change: beyond the buffer the connection with the most unread bytes is closed (event 6020); one answer of the longest permitted size is always kept. The bound for a peer is that of a buffer.

Evidence: testUnreadAnswersAreBounded fails without the change and passes now, also under the sanitizers.

--- a/Libraries/LibCore/LogEvent.cpp
+++ b/Libraries/LibCore/LogEvent.cpp
@@ -92,6 +92,10 @@
         "UpstreamAnswerTooLarge",
         LogLevel::Warning,
         "The upstream wrote more than this proxy can hold, or no end; its connection was closed."},
+    LogEventInfo {LogEvent::CallerDoesNotRead,
+        "CallerDoesNotRead",
+        LogLevel::Warning,
+        "Callers leave more answers unread than this proxy can hold; the connection with the most was closed."},
     LogEventInfo {LogEvent::OperatorRequestRejected, "OperatorRequestRejected", LogLevel::Info, "An operator request is not valid."},
 };
 
--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -69,6 +69,7 @@
     RunEnded = 6017,
     SuspectChanged = 6018,
     UpstreamAnswerTooLarge = 6019,
+    CallerDoesNotRead = 6020,
 
     OperatorRequestRejected = 7000,
 };
--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -11,6 +11,8 @@
 /// Time that a client has to notice the end of its connection before the socket is closed.
 static constexpr Duration LingerTime = std::chrono::seconds(2);
 static constexpr Duration SweepInterval = std::chrono::milliseconds(250);
+/// Room for the heads of answers beside the limit on unread bytes.
+static constexpr std::uint64_t UnreadHeadBytes = 64 * 1024;
 static constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 struct HttpServer::Exchange
@@ -40,6 +42,15 @@
 
     explicit Connection(const HttpServerLimits &wanted) : parser(HttpParser::Kind::Request, wanted.sizes), limits(wanted)
     { }
+
+    std::uint64_t unreadBytes() const
+    {
+        std::uint64_t bytes = stream->bytesQueued();
+        for (const Exchange &exchange : exchanges) {
+            bytes += exchange.answer ? exchange.answer->body.size() : 0;
+        }
+        return bytes;
+    }
 };
 
 HttpServer::HttpServer(std::uint64_t maximumBodyBytes, EventHandler onEvent)
@@ -70,6 +81,11 @@
     m_limits = limits;
 }
 
+void HttpServer::limitUnreadAnswers(std::uint64_t bytes)
+{
+    m_maximumUnreadBytes = bytes;
+}
+
 void HttpServer::accept(GSocket *socket)
 {
     const std::uint64_t id = m_nextConnectionId++;
@@ -189,8 +205,13 @@
     message.status = answer.status;
     message.headers = std::move(answer.headers);
     message.body = std::move(answer.body);
+    m_unreadEstimate += message.body.size();
     exchange->answer = std::move(message);
     writeAnswers(connection);
+    if (m_unreadEstimate > m_maximumUnreadBytes + UnreadHeadBytes) {
+        // The owner is not told of the end of other requests while it hands over an answer.
+        m_sweepTimer.setDeadline(m_clock.now());
+    }
 }
 
 void HttpServer::writeAnswers(Connection &connection)
@@ -245,6 +266,27 @@
     }
 }
 
+void HttpServer::closeLargestUnread()
+{
+    m_unreadEstimate = 0;
+    std::uint64_t largestBytes = 0;
+    std::uint64_t largestId = 0;
+    for (const auto &[id, connection] : m_connections) {
+        const std::uint64_t bytes = connection->unreadBytes();
+        m_unreadEstimate += bytes;
+        if (bytes > largestBytes) {
+            largestBytes = bytes;
+            largestId = id;
+        }
+    }
+    if (m_unreadEstimate <= m_maximumUnreadBytes + UnreadHeadBytes) {
+        return;
+    }
+    logEvent(LogEvent::CallerDoesNotRead, {{"bytes", largestBytes}, {"all_bytes", m_unreadEstimate}});
+    m_unreadEstimate -= largestBytes;
+    abandon(largestId);
+}
+
 bool HttpServer::isOverdue(const Connection &connection) const
 {
     const TimePoint now = m_clock.now();
@@ -258,6 +300,9 @@
 void HttpServer::sweep()
 {
     m_isSweepScheduled = false;
+    while (m_unreadEstimate > m_maximumUnreadBytes + UnreadHeadBytes) {
+        closeLargestUnread();
+    }
     std::vector<std::uint64_t> overdue;
     std::vector<Connection *> slow;
     for (const auto &[id, connection] : m_connections) {
--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -80,6 +80,10 @@
     /// Applies to connections that are accepted from now on.
     void setLimits(const HttpServerLimits &limits);
 
+    /// Bytes of answers that clients have not read, together. Beyond it the connection with the most of them is closed. One
+    /// answer of this length is always kept.
+    void limitUnreadAnswers(std::uint64_t bytes);
+
     /// Answers a request; has no effect where the client is gone.
     void answer(HttpAnswer answer);
     /// Requests that have no answer yet, or whose answer is still being written.
@@ -101,6 +105,7 @@
     void open(Connection &connection, HttpMessage message, ErrorCode rejection);
     void writeAnswers(Connection &connection);
     void abandon(std::uint64_t connectionId);
+    void closeLargestUnread();
     void sweep();
     bool isOverdue(const Connection &connection) const;
     void reject(Connection &connection, ErrorCode reason);
@@ -108,6 +113,9 @@
 
     Clock m_clock = Clock::system();
     HttpServerLimits m_limits;
+    std::uint64_t m_maximumUnreadBytes = 64ULL * 1024 * 1024;
+    /// At least the bytes of answers that clients have not read.
+    std::uint64_t m_unreadEstimate = 0;
     EventHandler m_onEvent;
     std::vector<std::unique_ptr<TcpListener>> m_listeners;
     std::uint64_t m_nextToken = 1;
--- a/Libraries/LibProxy/PeerLinks.cpp
+++ b/Libraries/LibProxy/PeerLinks.cpp
@@ -2,8 +2,6 @@
 
 namespace Fuchsiastep {
 
-/// A peer that does not read must not fill the memory.
-static constexpr std::size_t MaximumQueuedBytes = 64 * 1024 * 1024;
 /// Time for a peer's Hello.
 static constexpr Duration HelloTime = std::chrono::seconds(10);
 static constexpr Duration IdleTime = std::chrono::seconds(120); // Twice the longest timeout of a request.
@@ -37,8 +35,8 @@
         && !std::holds_alternative<CancelFrame>(frame);
 }
 
-PeerLinks::PeerLinks(HelloFrame self, const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent)
-    : m_self(std::move(self)), m_clock(clock), m_metrics(metrics), m_onEvent(std::move(onEvent))
+PeerLinks::PeerLinks(HelloFrame self, std::uint64_t maximumQueuedBytes, const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent)
+    : m_self(std::move(self)), m_maximumQueuedBytes(maximumQueuedBytes), m_clock(clock), m_metrics(metrics), m_onEvent(std::move(onEvent))
 { }
 
 PeerLinks::~PeerLinks() = default;
@@ -147,7 +145,7 @@
 void PeerLinks::send(Link &link, const Frame &frame)
 {
     link.lastUsed = m_clock.now();
-    if (link.connection->bytesQueued() > MaximumQueuedBytes) {
+    if (link.connection->bytesQueued() > m_maximumQueuedBytes) {
         handleClosed(link.id, {ErrorCode::ConnectionClosed, "the peer does not read"});
         return;
     }
--- a/Libraries/LibProxy/PeerLinks.h
+++ b/Libraries/LibProxy/PeerLinks.h
@@ -52,7 +52,8 @@
 public:
     using EventHandler = std::function<void(PeerLinksEvent event)>;
 
-    PeerLinks(HelloFrame self, const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent);
+    /// \a maximumQueuedBytes: a connection is closed once more bytes wait for its peer to read.
+    PeerLinks(HelloFrame self, std::uint64_t maximumQueuedBytes, const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent);
     ~PeerLinks();
 
     /// Fails with ListenFailed.
@@ -93,6 +94,7 @@
     void send(Link &link, const Frame &frame);
 
     HelloFrame m_self;
+    std::uint64_t m_maximumQueuedBytes;
     const Clock &m_clock;
     MetricsRegistry &m_metrics;
     EventHandler m_onEvent;
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -43,6 +43,7 @@
     for (int attempt = 0; attempt < Attempts; ++attempt) {
         m_links =
             std::make_unique<PeerLinks>(HelloFrame {HelloFrame::CurrentProtocol, m_settings.proxyId, m_incarnation, m_settings.dataCentre},
+                m_settings.limits.bufferBytes,
                 m_clock,
                 m_metrics,
                 [this](PeerLinksEvent event) { handlePeers(std::move(event)); });
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -51,7 +51,9 @@
         std::visit([this](const auto &content) { handle(content); }, message);
         finishTurn();
     })
-{ }
+{
+    m_callers.limitUnreadAnswers(settings.limits.bufferBytes);
+}
 
 RequestTask::~RequestTask() = default;
 
--- a/Tests/LibProxy/TestHttpServer.cpp
+++ b/Tests/LibProxy/TestHttpServer.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(testAnswersGoToTheirOwnRequest);
     CPPUNIT_TEST(testHerdOfClientsConnects);
     CPPUNIT_TEST(testDestructionWithOpenRequests);
+    CPPUNIT_TEST(testUnreadAnswersAreBounded);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t BodyLimit = 20'000;
@@ -347,6 +348,35 @@
         CPPUNIT_ASSERT(client.waitForClose());
         CPPUNIT_ASSERT(m_abandoned.empty());
     }
+
+    // Guards against memory that is filled by clients that read their answers slowly or not at all, with the end of a client
+    // that reads. One answer of the permitted length is kept, however slowly it is read.
+    void testUnreadAnswersAreBounded()
+    {
+        // Beside what the buffers of the sockets take, which is up to some 10 MB.
+        constexpr std::size_t Limit = 16ULL * 1024 * 1024;
+        const std::string body(Limit, 'x');
+        m_server->limitUnreadAnswers(Limit);
+        const std::string request = "GET /large HTTP/1.1\r\nHost: x\r\n\r\n";
+        RawClient first(m_server->address());
+        first.send(request);
+        CPPUNIT_ASSERT(waitForRequests(1));
+        m_server->answer({m_requests[0].token, 200, {}, body});
+        assertServes();
+        CPPUNIT_ASSERT(m_abandoned.empty());
+        RawClient second(m_server->address());
+        for (int repeated = 0; repeated < 3; ++repeated) {
+            second.send(request);
+        }
+        CPPUNIT_ASSERT(waitForRequests(5));
+        for (std::size_t index = 2; index < 5; ++index) {
+            m_server->answer({m_requests[index].token, 200, {}, body});
+        }
+        CPPUNIT_ASSERT(runUntil([this] { return !m_abandoned.empty(); }));
+        CPPUNIT_ASSERT(second.waitForClose());
+        CPPUNIT_ASSERT_MESSAGE("the smaller answer is whole", first.receive(body));
+        assertServes();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestHttpServer);
--- a/Tests/LibProxy/TestPeerLinks.cpp
+++ b/Tests/LibProxy/TestPeerLinks.cpp
@@ -26,11 +26,13 @@
     CPPUNIT_TEST(testSilentConnectionIsClosed);
     CPPUNIT_TEST_SUITE_END();
 
+    static constexpr std::uint64_t MaximumQueuedBytes = 64ULL * 1024 * 1024;
+
     /// One proxy with its links.
     struct Peer
     {
         explicit Peer(const std::string &proxyId)
-            : links({HelloFrame::CurrentProtocol, proxyId, 1, "gatton"}, clock, metrics, [this](PeerLinksEvent event) {
+            : links({HelloFrame::CurrentProtocol, proxyId, 1, "gatton"}, MaximumQueuedBytes, clock, metrics, [this](PeerLinksEvent event) {
                 std::visit(Overloaded {
                                [this](PeerFrameReceived &frame) { frames.push_back(std::move(frame)); },
                                [this](const PeerConnectionClosed &loss) { closed.push_back(loss); },
--- a/Tests/Support/RawClient.h
+++ b/Tests/Support/RawClient.h
@@ -75,7 +75,7 @@
     /// Reads what is there. Returns false where the server closed.
     bool poll()
     {
-        std::array<char, 4096> chunk {};
+        std::array<char, 65536> chunk {};
         GError *error = nullptr;
         const gssize count = m_isOpen ? g_socket_receive(m_socket, chunk.data(), chunk.size(), nullptr, &error) : 0;
         if (count > 0) {
