--- a/Libraries/LibLab/LabProcess.cpp
+++ b/Libraries/LibLab/LabProcess.cpp
@@ -4,6 +4,7 @@
 #include <LibLab/LabLoop.h>
 
 #include <csignal>
+#include <fstream>
 #include <sstream>
 
 namespace Fuchsiastep {
@@ -104,6 +105,24 @@
     return m_state->exitStatus;
 }
 
+std::uint64_t LabProcess::peakMemoryBytes() const
+{
+    constexpr std::uint64_t BytesPerKibibyte = 1024;
+    const char *identifier = g_subprocess_get_identifier(m_process);
+    if (identifier == nullptr) {
+        return 0;
+    }
+    std::ifstream file("/proc/" + std::string(identifier) + "/status");
+    std::string word;
+    while (file >> word) {
+        std::uint64_t kibibytes = 0;
+        if (word == "VmHWM:" && file >> kibibytes) {
+            return kibibytes * BytesPerKibibyte;
+        }
+    }
+    return 0;
+}
+
 bool LabProcess::waitForExit(Duration limit)
 {
     return runLoopUntil([this] { return !isRunning(); }, limit);
--- a/Libraries/LibLab/LabProcess.h
+++ b/Libraries/LibLab/LabProcess.h
@@ -7,6 +7,7 @@
 
 #include <gio/gio.h>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -35,6 +36,8 @@
     std::optional<SocketAddress> addressOf(const std::string &name) const;
     /// Exit status, or the negative number of the signal that ended it; nothing while it runs.
     std::optional<int> exitStatus() const;
+    /// The most memory that the process has held, in bytes; 0 after its end.
+    std::uint64_t peakMemoryBytes() const;
     /// Returns false where the process still runs at the end of \a limit.
     bool waitForExit(Duration limit);
 
