Take values for which the platform sets no upper bound

Cause: the adapter read times, attempts, priorities, weights and limits with the bounds of the product's own declarations (60 s, 6 attempts), and one value above them refuses the document. The log names the field: ruled out are a document that does not arrive, and one refused when it is applied or passed on. The same class: callers' deadlines were cut at 600 s, and reports of upstreams with more than 10,000 slots refused.

Change: what the product cannot carry (times above 2^31 - 1 ms) is taken as the largest value that it can, and named by event 4009 and fuchsiastep_configuration_fields_limited. Weights are scaled together. Values without a meaning still refuse the version. One case of testDocuments moved: a time-out of 2^64 + 1 ms, refused before, is now among the values that have to be taken; -2^64 - 1, a text and zero attempts are refused in its place.

--- a/Libraries/LibCore/LogEvent.cpp
+++ b/Libraries/LibCore/LogEvent.cpp
@@ -44,6 +44,10 @@
     LogEventInfo {
         LogEvent::SnapshotWritten, "SnapshotWritten", LogLevel::Info, "A configuration snapshot was written to the object store."},
     LogEventInfo {LogEvent::DocumentMissing, "DocumentMissing", LogLevel::Warning, "The platform holds no configuration document."},
+    LogEventInfo {LogEvent::ConfigurationFieldLimited,
+        "ConfigurationFieldLimited",
+        LogLevel::Warning,
+        "A value of the configuration is beyond what this proxy can carry; fields give the value in force in its place."},
     LogEventInfo {LogEvent::MemberJoined, "MemberJoined", LogLevel::Info, "A member was seen for the first time."},
     LogEventInfo {LogEvent::MemberSuspected, "MemberSuspected", LogLevel::Info, "A member did not answer direct and indirect probes."},
     LogEventInfo {LogEvent::MemberRemoved, "MemberRemoved", LogLevel::Warning, "A suspected member did not refute and was removed."},
--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -41,6 +41,7 @@
     ProxyReady = 4006,
     SnapshotWritten = 4007,
     DocumentMissing = 4008,
+    ConfigurationFieldLimited = 4009,
 
     MemberJoined = 5000,
     MemberSuspected = 5001,
--- a/Libraries/LibProxy/ConfigurationTask.cpp
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -398,11 +398,21 @@
     if (version > m_holder.current()->version()) {
         m_onEvent(CallerLimitsChanged {valueOf(document).callerLimits});
         m_highestVersionSeen = std::max(m_highestVersionSeen, version);
+        reportLimitedFields(valueOf(document));
         adoptObjects(valueOf(document).objects, version);
     }
     run(m_gate.handle(HeadRead {version}));
 }
 
+void ConfigurationTask::reportLimitedFields(const ConfigurationDocument &document)
+{
+    m_metrics.setGauge("fuchsiastep_configuration_fields_limited", static_cast<double>(document.limitedFields.size()));
+    for (const LimitedField &field : document.limitedFields) {
+        logEvent(LogEvent::ConfigurationFieldLimited,
+            {{"version", document.version}, {"field", field.path}, {"given", field.given}, {"used", field.used}});
+    }
+}
+
 void ConfigurationTask::adoptObjects(const std::vector<DeclaredObject> &objects, ConfigurationVersion version)
 {
     const ConfigurationDelta delta = ConfigurationDelta::between(*m_holder.current(), objects, version);
--- a/Libraries/LibProxy/ConfigurationTask.h
+++ b/Libraries/LibProxy/ConfigurationTask.h
@@ -101,6 +101,7 @@
     void run(std::vector<StartupGateOutput> outputs);
     void run(std::vector<DocumentReaderOutput> outputs);
     void adoptDocument(const DocumentFound &found);
+    void reportLimitedFields(const ConfigurationDocument &document);
     void adoptObjects(const std::vector<DeclaredObject> &objects, ConfigurationVersion version);
     void run(std::uint64_t changeId, std::vector<ChangeCommitterOutput> outputs);
 
--- a/Tests/platform/TestPlatformCodecs.cpp
+++ b/Tests/platform/TestPlatformCodecs.cpp
@@ -1,3 +1,5 @@
+#include <LibConfiguration/LibConfiguration.h>
+#include <LibConfiguration/ObjectValidation.h>
 #include <platform/AnnouncementCodec.h>
 #include <platform/CallCodec.h>
 #include <platform/DocumentCodec.h>
@@ -5,6 +7,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cmath>
+#include <limits>
+#include <map>
 #include <vector>
 
 namespace Fuchsiastep {
@@ -16,6 +21,9 @@
     CPPUNIT_TEST_SUITE(TestPlatformCodecs);
     CPPUNIT_TEST(testHeartbeats);
     CPPUNIT_TEST(testDocuments);
+    CPPUNIT_TEST(testValuesWithoutAnUpperBound);
+    CPPUNIT_TEST(testWeightsKeepTheirRatios);
+    CPPUNIT_TEST(testLongDeadlines);
     CPPUNIT_TEST(testStatusesTellTheTruth);
     CPPUNIT_TEST(testUpstreamRequest);
     CPPUNIT_TEST(testAnswersOfOtherRequests);
@@ -76,6 +84,11 @@
         for (const std::string &body : bad) {
             CPPUNIT_ASSERT_MESSAGE(body.substr(0, 200), std::holds_alternative<Error>(control("/-/instances/i-7/heartbeat", body)));
         }
+        // Guards against an upstream that is not taken because it has more slots than a proxy uses.
+        const std::string large = R"("info":{"service":"desk","version":"v1","zone":"z","maxConcurrency":4294967295})";
+        const ControlMessage wide = control("/-/instances/i-7/heartbeat", '{' + address + ',' + large + ',' + status + '}');
+        CPPUNIT_ASSERT(std::holds_alternative<UpstreamAnnouncement>(wide));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(10'000), std::get<UpstreamAnnouncement>(wide).slots);
         const ControlMessage left = control("/-/instances/i-7/deregister", "");
         CPPUNIT_ASSERT_EQUAL(std::string("i-7"), std::get<UpstreamDeparture>(left).upstreamId);
         CPPUNIT_ASSERT(std::holds_alternative<std::monostate>(control("/v1/operator/drain", "")));
@@ -115,7 +128,9 @@
             document(plain + R"(,{"name":)" + std::string(200'000, '[')),
             document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":1e400,"service":"desk","attempts":1})"),
             document(
-                R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":18446744073709551617,"service":"desk","attempts":1})"),
+                R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":-18446744073709551617,"service":"desk","attempts":1})"),
+            document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":"1","service":"desk","attempts":1})"),
+            document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":1,"service":"desk","attempts":0})"),
             document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":1,"service":"desk"})"),
             document(R"({"name":"a","host":"h","prefix":"/a","routeType":"idempotent","timeoutMs":1,"service":"desk","attempts":1})"),
             document(R"({"name":"a","host":"h","prefix":"/a/","routeType":"other","timeoutMs":1,"service":"desk","attempts":1})"),
@@ -129,6 +144,146 @@
         }
     }
 
+    /// A route with one field added or replaced.
+    static std::string routeWith(const std::string &field, const std::string &value)
+    {
+        std::map<std::string, std::string> fields {{"name", R"("a")"},
+            {"host", R"("h")"},
+            {"prefix", R"("/a/")"},
+            {"routeType", R"("idempotent")"},
+            {"timeoutMs", "1000"},
+            {"service", R"("desk")"},
+            {"attempts", "2"}};
+        fields[field] = value;
+        std::string text;
+        for (const auto &[name, content] : fields) {
+            text.append(text.empty() ? "{" : ",").append("\"" + name + "\":").append(content);
+        }
+        return text + '}';
+    }
+
+    /// The configuration of a process that adopts the document on top of \a held, as it is after a peer has read it.
+    static Configuration::Pointer adopt(const ConfigurationDocument &document, const Configuration::Pointer &held)
+    {
+        const ConfigurationDelta delta = ConfigurationDelta::between(*held, document.objects, document.version);
+        const Result<ConfigurationDelta> received = ConfigurationDelta::tryDecode(delta.encode());
+        CPPUNIT_ASSERT(!isError(received));
+        const Result<Configuration::Pointer> pushed = held->tryApply(valueOf(received));
+        CPPUNIT_ASSERT(!isError(pushed));
+        const Configuration &content = *valueOf(pushed);
+        const Result<Configuration::Pointer> pulled = Configuration::tryDecode(content.encode(), content.version(), content.digest());
+        CPPUNIT_ASSERT(!isError(pulled));
+        return valueOf(pulled);
+    }
+
+    // Guards against a version that is refused whole, with all of its other routes, because one value is larger than the
+    // product's own declarations allow: the platform sets no upper bound. A starting and a running process take it, and so
+    // do their peers.
+    void testValuesWithoutAnUpperBound()
+    {
+        const std::vector<std::string> values {"60000",
+            "60001",
+            "90000",
+            "3600001",
+            "2147483647",
+            "2147483648",
+            "4294967296",
+            "9007199254740993",
+            "9223372036854775807",
+            "9223372036854775808",
+            "18446744073709551617",
+            "1e300",
+            "1500.5"};
+        const Result<ConfigurationDocument> older = tryReadDocument(document(routeWith("timeoutMs", "500")));
+        const Configuration::Pointer running = adopt(valueOf(older), Configuration::empty());
+        constexpr Duration LongestTime = std::chrono::milliseconds(std::numeric_limits<std::int32_t>::max());
+        for (const char *field : {"timeoutMs", "targetLatencyMs", "attempts", "priority"}) {
+            for (const std::string &value : values) {
+                const std::string where = std::string(field) + ' ' + value;
+                std::string text = document(routeWith(field, value));
+                text.replace(text.find("r12"), 3, "r13");
+                const Result<ConfigurationDocument> read = tryReadDocument(text);
+                CPPUNIT_ASSERT_MESSAGE(where + (isError(read) ? ": " + errorOf(read).detail : ""), !isError(read));
+                for (const Configuration::Pointer &held : {Configuration::empty(), running}) {
+                    const Configuration::Pointer adopted = adopt(valueOf(read), held);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(where, ConfigurationVersion(13), adopted->version());
+                    const RouteRules &rules = adopted->selector("a")->rules;
+                    CPPUNIT_ASSERT_MESSAGE(where, rules.timeout > Duration(0) && rules.timeout <= LongestTime);
+                    CPPUNIT_ASSERT_MESSAGE(where, rules.targetLatency > Duration(0) && rules.targetLatency <= LongestTime);
+                }
+                const auto &selector = std::get<Selector>(valueOf(read).objects.back());
+                const double given = std::min(std::stod(value), std::pow(2, 31) - 1);
+                const Duration expected = std::chrono::milliseconds(static_cast<std::int64_t>(std::ceil(given)));
+                CPPUNIT_ASSERT_MESSAGE(where, std::string(field) != "timeoutMs" || selector.rules.timeout == expected);
+                CPPUNIT_ASSERT_MESSAGE(where, std::string(field) != "targetLatencyMs" || selector.rules.targetLatency == expected);
+                CPPUNIT_ASSERT_MESSAGE(where, std::string(field) != "attempts" || selector.rules.maximumRetries >= 1500);
+                // What is not carried as it was given is named.
+                const bool isTime = std::string(field).ends_with("Ms");
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                    where, isTime && std::stod(value) > 2147483647, !valueOf(read).limitedFields.empty() && isTime);
+            }
+        }
+        for (const char *field : {"maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs"}) {
+            for (const std::string &value : values) {
+                const std::string where = std::string(field) + ' ' + value;
+                std::string text = document(routeWith("attempts", "1"));
+                const std::size_t begin = text.find(':', text.find(field)) + 1;
+                text.replace(begin, 4, value);
+                const Result<ConfigurationDocument> read = tryReadDocument(text);
+                CPPUNIT_ASSERT_MESSAGE(where + (isError(read) ? ": " + errorOf(read).detail : ""), !isError(read));
+                const HttpServerLimits &limits = valueOf(read).callerLimits;
+                CPPUNIT_ASSERT_MESSAGE(where, limits.headTime > Duration(0) && limits.idleTime > Duration(0));
+                CPPUNIT_ASSERT_MESSAGE(where, limits.sizes.headBytes > 0 && limits.sizes.bodyBytes > 0);
+            }
+        }
+    }
+
+    // Guards against shares that change where a weight is larger than the product holds, or a fraction.
+    void testWeightsKeepTheirRatios()
+    {
+        struct Case
+        {
+            std::string first;
+            std::string second;
+            double ratio;
+        };
+        const std::vector<Case> cases {
+            {"90", "10", 9},
+            {"3000000000", "1000000000", 3},
+            {"18446744073709551616", "9223372036854775808", 2},
+            {"0.75", "0.25", 3},
+            {"1e300", "5e299", 2},
+            {"0", "7", 0},
+        };
+        for (const Case &item : cases) {
+            const std::string parts =
+                R"([{"service":"desk","weight":)" + item.first + R"(},{"service":"docs","weight":)" + item.second + "}]";
+            const Result<ConfigurationDocument> read = tryReadDocument(document(routeWith("weightedServices", parts)));
+            CPPUNIT_ASSERT_MESSAGE(parts + (isError(read) ? errorOf(read).detail : ""), !isError(read));
+            const std::vector<DeclaredObject> &objects = valueOf(read).objects;
+            const auto &first = std::get<Selector>(objects.at(objects.size() - 2));
+            const auto &second = std::get<Selector>(objects.back());
+            CPPUNIT_ASSERT_MESSAGE(parts, first.weight <= MaximumWeight && second.weight <= MaximumWeight);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(parts, item.ratio, static_cast<double>(first.weight) / second.weight, 1e-4);
+        }
+    }
+
+    // Guards against a caller whose time is cut although its route allows it.
+    void testLongDeadlines()
+    {
+        for (const auto &[text, milliseconds] : std::vector<std::pair<std::string, double>> {
+                 {"600001", 600'001}, {"2147483647", 2147483647}, {"4294967296", 2147483647}, {"1e300", 2147483647}}) {
+            HttpRequest incoming;
+            incoming.method = "GET";
+            incoming.target = "/";
+            incoming.headers = {{"host", "h"}, {"deadline-ms", text}};
+            const Result<Call> call = tryParseCall(incoming, "desk");
+            CPPUNIT_ASSERT_MESSAGE(text, !isError(call));
+            const Duration expected = std::chrono::milliseconds(static_cast<std::int64_t>(milliseconds));
+            CPPUNIT_ASSERT_MESSAGE(text, valueOf(call).timeLeft == expected);
+        }
+    }
+
     // Guards against a status that promises "not run" for a request that may have run.
     void testStatusesTellTheTruth()
     {
