Keep connections and runs for as long as a route allows

Cause: a connection between proxies was closed after 120 s without frames, and a run given up after 120 s, both twice the longest timeout of the product's declarations. A request of a route with a longer one was cut.

Change: a connection stays while a request on it may still be answered; a run is given up after twice the time that it was granted, and not before 120 s.

Evidence: testConnectionWithAnOpenRequestIsNotIdle fails without the change and passes now. The time of a run has no test of its own.

--- a/Libraries/LibProxy/PeerLinks.cpp
+++ b/Libraries/LibProxy/PeerLinks.cpp
@@ -4,7 +4,8 @@
 
 /// Time for a peer's Hello.
 static constexpr Duration HelloTime = std::chrono::seconds(10);
-static constexpr Duration IdleTime = std::chrono::seconds(120); // Twice the longest timeout of a request.
+/// An outgoing connection without frames is closed after this time, but not while a request on it may still be answered.
+static constexpr Duration IdleTime = std::chrono::seconds(120);
 
 struct PeerLinks::Link
 {
@@ -19,6 +20,8 @@
     std::uint64_t incarnation = 0;
     SocketAddress address;
     TimePoint lastUsed;
+    /// No request that was sent is answered later.
+    TimePoint answersUntil;
     std::unique_ptr<PeerConnection> connection;
 
     /// A connection that was opened to an address, before the proxy there was known, is never used by sendTo().
@@ -145,6 +148,9 @@
 void PeerLinks::send(Link &link, const Frame &frame)
 {
     link.lastUsed = m_clock.now();
+    if (const auto *request = std::get_if<RequestFrame>(&frame)) {
+        link.answersUntil = std::max(link.answersUntil, m_clock.now() + std::chrono::milliseconds(request->timeLeftMs));
+    }
     if (link.connection->bytesQueued() > m_maximumQueuedBytes) {
         handleClosed(link.id, {ErrorCode::ConnectionClosed, "the peer does not read"});
         return;
@@ -241,7 +247,8 @@
     std::vector<std::uint64_t> idle;
     for (const auto &[id, link] : m_links) {
         const Duration unused = m_clock.now() - link->lastUsed;
-        if ((link->isOutgoing && unused > IdleTime) || (!link->isEstablished && unused > HelloTime)) {
+        const bool mayBeAnswered = m_clock.now() < link->answersUntil;
+        if ((link->isOutgoing && !mayBeAnswered && unused > IdleTime) || (!link->isEstablished && unused > HelloTime)) {
             idle.push_back(id);
         }
     }
--- a/Libraries/LibProxy/PeerLinks.h
+++ b/Libraries/LibProxy/PeerLinks.h
@@ -80,8 +80,8 @@
         return m_links.size();
     }
 
-    /// Closes outgoing connections that were not used for two minutes, and those without a Hello after 10 s. Called now and then by the
-    /// owner.
+    /// Closes outgoing connections that were not used for two minutes and owe no answer, and those without a Hello after 10 s.
+    /// Called now and then by the owner.
     void closeIdle();
 
 private:
--- a/Libraries/LibProxy/UpstreamClient.cpp
+++ b/Libraries/LibProxy/UpstreamClient.cpp
@@ -5,9 +5,9 @@
 
 namespace Fuchsiastep {
 
-/// A run is given up after this time, so that an upstream that hangs gives its slot back. Twice the longest timeout of a
-/// selector, since a run that holds a key outlives its caller.
-static constexpr Duration LongestRun = std::chrono::seconds(120);
+/// A run is given up after twice the time that it was granted, since a run that holds a key outlives its caller, and not
+/// before this time. An upstream that hangs gives its slot back then.
+static constexpr Duration ShortestGivenUp = std::chrono::seconds(120);
 static constexpr Duration ExpiryInterval = std::chrono::seconds(5);
 /// An upstream that does not say how long it keeps idle connections is assumed to keep them this long.
 static constexpr Duration AssumedKeepAlive = std::chrono::seconds(4);
@@ -30,6 +30,7 @@
     /// Without the body.
     RequestFrame request;
     TimePoint startedAt;
+    TimePoint givenUpAt;
 };
 
 struct UpstreamClient::Connection
@@ -118,6 +119,7 @@
     exchange->request = request;
     exchange->request.body.clear();
     exchange->startedAt = m_clock.now();
+    exchange->givenUpAt = exchange->startedAt + std::max(ShortestGivenUp, 2 * timeLeft);
     Connection *connection = idleConnection(request);
     if (connection == nullptr && m_connections.size() >= m_maximumConnections) {
         closeIdleConnections();
@@ -317,7 +319,7 @@
             continue;
         }
         isAnyRunning = true;
-        if (m_clock.now() > connection->exchange->startedAt + LongestRun) {
+        if (m_clock.now() > connection->exchange->givenUpAt) {
             overdue.push_back(id);
         }
     }
--- a/Tests/LibProxy/TestPeerLinks.cpp
+++ b/Tests/LibProxy/TestPeerLinks.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(testConnectionThatHangsIsReported);
     CPPUNIT_TEST(testPeerAtAnotherAddress);
     CPPUNIT_TEST(testIdleConnectionsAreClosed);
+    CPPUNIT_TEST(testConnectionWithAnOpenRequestIsNotIdle);
     CPPUNIT_TEST(testSilentConnectionIsClosed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -262,6 +263,24 @@
         CPPUNIT_ASSERT(runUntil([&second] { return second.closed.size() == 1; }));
     }
 
+    // Guards against a long request that is cut off because nothing else is sent on its connection meanwhile.
+    void testConnectionWithAnOpenRequestIsNotIdle()
+    {
+        Peer first("p-1");
+        Peer second("p-2");
+        RequestFrame request;
+        request.requestId = 1;
+        request.timeLeftMs = 300'000;
+        first.links.sendTo("p-2", second.links.address(), request);
+        CPPUNIT_ASSERT(runUntil([&] { return second.frames.size() == 1 && first.established == 1; }));
+        first.clock.advance(std::chrono::seconds(299));
+        first.links.closeIdle();
+        CPPUNIT_ASSERT(first.closed.empty());
+        first.clock.advance(std::chrono::seconds(2));
+        first.links.closeIdle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, first.closed.size());
+    }
+
     // Guards against connections that hold a descriptor without ever saying who they are.
     void testSilentConnectionIsClosed()
     {
