Refuse a request that is longer than a frame

Cause: the head of a request had no bound but maxHeaderBytes of the configuration, for the start line and the fields each. With a body of 768 KiB its frame could exceed 1 MiB; the peer then closes the connection, and every other request on it ends as unknown. Found while looking for values of the configuration that nothing bounds.

Evidence: testRequestsFitIntoFrames fails without the change and passes now.

--- a/Libraries/LibProxy/ProxySettings.h
+++ b/Libraries/LibProxy/ProxySettings.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/LibCore.h>
 #include <LibRouting/RetryBudgets.h>
+#include <LibWire/FrameCodec.h>
 
 #include <cstdint>
 #include <optional>
@@ -85,6 +86,13 @@
     /// How long a draining proxy goes on taking calls, so that its callers have time to go elsewhere.
     Duration lingerTime {0};
 
+    /// Room for the path and the header fields of a request beside its body in one frame.
+    std::uint64_t requestHeadBytes() const
+    {
+        constexpr std::uint64_t ReservedBytes = 16ULL * 1024;
+        return MaximumFrameBytes - ReservedBytes - requestBodyBytes;
+    }
+
     /// The buffers of a process that may use \a memoryBytes. All four together are a third of it, since a body exists more
     /// than once while it grows or is passed on, and the rest of the process has to fit as well.
     static std::uint64_t bufferBytesWithin(std::uint64_t memoryBytes)
--- a/Libraries/LibProxy/RequestSettings.cpp
+++ b/Libraries/LibProxy/RequestSettings.cpp
@@ -7,6 +7,7 @@
     RequestCoordinator::Settings settings;
     settings.maximumInFlight = limits.requestsInFlight;
     settings.maximumRequestBytes = limits.requestBodyBytes;
+    settings.maximumRequestHeadBytes = limits.requestHeadBytes();
     settings.maximumAnswerBytes = limits.answerBodyBytes;
     settings.maximumBufferedBytes = limits.bufferBytes;
     return settings;
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -168,7 +168,16 @@
 void RequestTask::handle(const CallerLimitsChanged &change)
 {
     HttpServerLimits limits = change.limits;
+    const auto reportLimit = [](const char *field, std::uint64_t given, std::uint64_t used) {
+        if (given > used) {
+            logEvent(LogEvent::ConfigurationFieldLimited, {{"field", field}, {"given", given}, {"used", used}});
+        }
+    };
     limits.sizes.bodyBytes = std::min(limits.sizes.bodyBytes, m_settings.limits.requestBodyBytes);
+    limits.sizes.headBytes =
+        static_cast<std::uint32_t>(std::min<std::uint64_t>(limits.sizes.headBytes, m_settings.limits.requestHeadBytes()));
+    reportLimit("request body bytes", change.limits.sizes.bodyBytes, limits.sizes.bodyBytes);
+    reportLimit("request head bytes", change.limits.sizes.headBytes, limits.sizes.headBytes);
     m_callers.setLimits(limits);
 }
 
--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -46,6 +46,17 @@
     return rules.targetLatency.count() > 0;
 }
 
+/// Size of what a frame carries of the head of a request, in bytes.
+static std::size_t headBytes(const CallerRequest &request)
+{
+    constexpr std::size_t LengthBytes = 10;
+    std::size_t bytes = request.method.size() + request.path.size() + request.key.size();
+    for (const auto &[name, value] : request.headers) {
+        bytes += name.size() + value.size() + LengthBytes;
+    }
+    return bytes;
+}
+
 RequestCoordinator::RequestCoordinator(Settings settings, RoutingState &routing, UpstreamSelector &selector, const Clock &clock)
     : m_settings(settings), m_routing(routing), m_selector(selector), m_clock(clock)
 { }
@@ -265,6 +276,10 @@
     if (request.body.size() > m_settings.maximumRequestBytes) {
         return Error {ErrorCode::BodyTooLarge, std::to_string(m_settings.maximumRequestBytes) + " bytes are allowed"};
     }
+    // A frame beyond the limit would end the connection to the peer, with every other request on it.
+    if (headBytes(request) > m_settings.maximumRequestHeadBytes) {
+        return Error {ErrorCode::HeadTooLarge, std::to_string(m_settings.maximumRequestHeadBytes) + " bytes are allowed"};
+    }
     if (!isRepeatable && request.key.empty() && rulesOf(request).isKeyRequired) {
         return Error {ErrorCode::KeyRequired, request.method + " on " + request.service};
     }
--- a/Tests/LibRequest/TestRequestCoordinator.cpp
+++ b/Tests/LibRequest/TestRequestCoordinator.cpp
@@ -1,4 +1,5 @@
 #include <LibRequest/LibRequest.h>
+#include <LibWire/LibWire.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -13,6 +14,7 @@
     CPPUNIT_TEST(testRefusedAtOnce);
     CPPUNIT_TEST(testBoundsOnRequestsAndBytes);
     CPPUNIT_TEST(testLargestAnswerMakesRoom);
+    CPPUNIT_TEST(testRequestsFitIntoFrames);
     CPPUNIT_TEST(testAnswersFromOtherConnectionsAreDropped);
     CPPUNIT_TEST(testOneIsolatedRunDecidesForAllLikeIt);
     CPPUNIT_TEST(testTrialsOfAllProxiesGoToOneUpstream);
@@ -242,6 +244,33 @@
         }
     }
 
+    // Guards against a request whose head and body together are longer than a frame: the peer would close the connection, and
+    // every other request on it would end as unknown.
+    void testRequestsFitIntoFrames()
+    {
+        const RequestCoordinator::Settings settings;
+        const std::string body(settings.maximumRequestBytes, 'x');
+        for (const std::size_t fields : {1U, 3U, 4U, 5U, 16U}) {
+            for (const bool hasLongPath : {false, true}) {
+                Fixture fixture;
+                CallerRequest request {1, "till", "desk", "POST", "/", {}, "key", std::nullopt, body, fixture.route};
+                request.path += std::string(hasLongPath ? 100'000 : 0, 'p');
+                for (std::size_t field = 0; field < fields; ++field) {
+                    request.headers["field-" + std::to_string(field)] = std::string(60'000, 'x');
+                }
+                const bool fits = fields * 60'000 + (hasLongPath ? 100'000 : 0) < settings.maximumRequestHeadBytes;
+                fixture.take(fixture.coordinator.handle(request));
+                CPPUNIT_ASSERT_EQUAL(std::size_t(fits ? 1 : 0), fixture.sent.size());
+                if (fits) {
+                    CPPUNIT_ASSERT(encodeFrame(fixture.sent[0].frame).size() <= MaximumFrameBytes);
+                } else {
+                    CPPUNIT_ASSERT(fixture.told.size() == 1 && fixture.told[0].code == ErrorCode::HeadTooLarge);
+                    CPPUNIT_ASSERT(fixture.told[0].outcome == RequestOutcome::NotRun);
+                }
+            }
+        }
+    }
+
     // Guards against a large answer that uses up the memory, with the end of whichever small answer arrives next.
     void testLargestAnswerMakesRoom()
     {
