Take the limits of callers of a version that a peer had

Cause: the limits stand in the document alone, and were taken only from a document that is newer than the version held.

Change: they are taken from a document of the version held as well, where they differ.

--- a/Libraries/LibProxy/ConfigurationTask.cpp
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -395,8 +395,12 @@
         return;
     }
     const ConfigurationVersion version = valueOf(document).version;
+    // A version that came from a peer came without the limits of callers.
+    if (version >= m_holder.current()->version() && m_callerLimits != valueOf(document).callerLimits) {
+        m_callerLimits = valueOf(document).callerLimits;
+        m_onEvent(CallerLimitsChanged {*m_callerLimits});
+    }
     if (version > m_holder.current()->version()) {
-        m_onEvent(CallerLimitsChanged {valueOf(document).callerLimits});
         m_highestVersionSeen = std::max(m_highestVersionSeen, version);
         reportLimitedFields(valueOf(document));
         adoptObjects(valueOf(document).objects, version);
--- a/Libraries/LibProxy/ConfigurationTask.h
+++ b/Libraries/LibProxy/ConfigurationTask.h
@@ -140,6 +140,8 @@
     ReaderRole m_role;
     std::uint64_t m_roleRevision = 0;
     bool m_isPlatformReadable = true;
+    /// Those of the last document that was read.
+    std::optional<HttpServerLimits> m_callerLimits;
     std::int64_t m_adoptedUnixMs = 0;
     ConfigurationVersion m_highestVersionSeen = 0;
     /// Where the configuration that is handled now comes from, for the log.
