Bound the platform's answers by the memory of the instance

An answer of the platform was bounded at 64 MiB, where an instance may have 88 MB. The bound is now at most that of a buffer, 7.3 MB there; documents are 400 kB. Without a test: the bound itself has one (TestPlatformClient).

--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -1,5 +1,7 @@
 #include <LibProxy/ProxyRuntime.h>
 
+#include <algorithm>
+
 namespace Fuchsiastep {
 
 /// Time for the leave message to spread before the sockets close.
@@ -79,6 +81,7 @@
     platform.baseUrl = m_settings.platform.url;
     platform.timeout = m_settings.platform.timeout;
     platform.protocol = m_protocol.platform;
+    platform.maximumAnswerBytes = std::min<std::uint64_t>(platform.maximumAnswerBytes, m_settings.limits.bufferBytes);
     m_platform = std::make_unique<PlatformClient>(platform);
     m_operators =
         std::make_unique<OperatorTask>(m_protocol, m_settings.upstream.silence(), m_clock, m_metrics, [this](OperatorTaskEvent event) {
