--- a/Libraries/LibHttp/HttpParser.cpp
+++ b/Libraries/LibHttp/HttpParser.cpp
@@ -104,7 +104,7 @@
     bool hasStarted = false;
     bool isContinueTold = false;
     bool isBodyForbidden = false;
-    /// Taken of the current message.
+    /// Bytes of the current message that the library has read.
     std::size_t messageBytes = 0;
     /// Size of the interim responses before the current message.
     std::size_t interimBytes = 0;
--- a/Libraries/LibProxy/ConfigurationTask.h
+++ b/Libraries/LibProxy/ConfigurationTask.h
@@ -140,7 +140,7 @@
     ReaderRole m_role;
     std::uint64_t m_roleRevision = 0;
     bool m_isPlatformReadable = true;
-    /// Those of the last document that was read.
+    /// From the last document that was read; nothing before the first.
     std::optional<HttpServerLimits> m_callerLimits;
     std::int64_t m_adoptedUnixMs = 0;
     ConfigurationVersion m_highestVersionSeen = 0;
--- a/Libraries/LibProxy/UpstreamClient.h
+++ b/Libraries/LibProxy/UpstreamClient.h
@@ -40,7 +40,7 @@
     Error error;
 };
 
-/// Sizes that an upstream may use up in a proxy.
+/// Memory that the answers of an upstream may take, in bytes.
 struct UpstreamAnswerLimits
 {
     /// Body of one answer.
