Add the fleet exchange: reports of all members to one coordinator

Roll-outs, quotas and the freshness of keys need counts, shares and ages that all proxies know together. Each member reports to one coordinator in its data centre and gets a reply; the coordinators report to each other, so that the messages grow with the number of members.

--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -56,6 +56,7 @@
     RangeReassigned = 5006,
     CrashSuspectsRejected = 5007,
     ContactRejected = 5008,
+    FleetFrameRejected = 5009,
 
     RequestRefused = 6000,
     RequestUnknown = 6001,
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -126,8 +126,10 @@
         *m_links,
         *m_platform,
         [this](const ConfigurationTaskEvent &event) { handleConfiguration(event); });
+    m_fleet = std::make_unique<FleetTask>(m_membership->table(), m_clock, *m_links);
     m_membership->start();
     m_configuration->start();
+    m_fleet->start();
     m_joinTimer.setDeadline(m_clock.now() + JoinTime);
     m_idleTimer.setDeadline(m_clock.now() + IdleCheckInterval);
     return ProxyAddresses {m_requests->address(), m_operators->address(), valueOf(peers)};
@@ -168,6 +170,12 @@
                    [&](AnswerPartFrame &) { m_requests->post(std::move(*received)); },
                    [&](CancelFrame &) { m_requests->post(std::move(*received)); },
                    [&](AnswerPartAckFrame &) { m_requests->post(std::move(*received)); },
+                   [&](FleetReportFrame &) {
+                       m_fleet->post(PeerFrame {received->proxyId, std::move(received->frame)});
+                   },
+                   [&](FleetReplyFrame &) {
+                       m_fleet->post(PeerFrame {received->proxyId, std::move(received->frame)});
+                   },
                    [&](auto &) {
                        m_configuration->post(PeerFrame {received->proxyId, std::move(received->frame)});
                    },
--- a/Libraries/LibProxy/ProxyRuntime.h
+++ b/Libraries/LibProxy/ProxyRuntime.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibProxy/ConfigurationTask.h>
+#include <LibProxy/FleetTask.h>
 #include <LibProxy/MembershipTask.h>
 #include <LibProxy/OperatorTask.h>
 #include <LibProxy/PeerLinks.h>
@@ -74,6 +75,7 @@
     std::unique_ptr<PlatformClient> m_platform;
     std::unique_ptr<PeerLinks> m_links;
     std::unique_ptr<MembershipTask> m_membership;
+    std::unique_ptr<FleetTask> m_fleet;
     std::unique_ptr<ConfigurationTask> m_configuration;
     std::unique_ptr<RequestTask> m_requests;
     std::unique_ptr<OperatorTask> m_operators;
--- a/Libraries/LibWire/Frame.h
+++ b/Libraries/LibWire/Frame.h
@@ -11,6 +11,8 @@
 #include <LibWire/CrashSuspectsAckFrame.h>
 #include <LibWire/CrashSuspectsFrame.h>
 #include <LibWire/CrashSuspectsQueryFrame.h>
+#include <LibWire/FleetReplyFrame.h>
+#include <LibWire/FleetReportFrame.h>
 #include <LibWire/HelloFrame.h>
 #include <LibWire/MembershipSyncFrame.h>
 #include <LibWire/RequestFrame.h>
@@ -37,6 +39,8 @@
     MembershipSyncFrame,
     CrashSuspectsFrame,
     CrashSuspectsAckFrame,
-    CrashSuspectsQueryFrame>;
+    CrashSuspectsQueryFrame,
+    FleetReportFrame,
+    FleetReplyFrame>;
 
 } // namespace Fuchsiastep
--- a/Libraries/LibWire/FrameCodec.cpp
+++ b/Libraries/LibWire/FrameCodec.cpp
@@ -76,6 +76,14 @@
 }
 void readFields(FrameReader & /*reader*/, CrashSuspectsQueryFrame & /*frame*/)
 { }
+void readFields(FrameReader &reader, FleetReportFrame &frame)
+{
+    reader.takeAll(frame.sequence, frame.isBetweenDataCentres, frame.sections);
+}
+void readFields(FrameReader &reader, FleetReplyFrame &frame)
+{
+    reader.takeAll(frame.sequence, frame.sections);
+}
 
 template<typename T>
 Result<Frame> tryReadFrame(FrameReader &reader)
@@ -123,6 +131,10 @@
         return tryReadFrame<CrashSuspectsAckFrame>(reader);
     case FrameType::CrashSuspectsQuery:
         return tryReadFrame<CrashSuspectsQueryFrame>(reader);
+    case FrameType::FleetReport:
+        return tryReadFrame<FleetReportFrame>(reader);
+    case FrameType::FleetReply:
+        return tryReadFrame<FleetReplyFrame>(reader);
     }
     return Error {ErrorCode::FrameUnknownType, std::to_string(static_cast<unsigned>(type))};
 }
--- a/Libraries/LibWire/FrameType.cpp
+++ b/Libraries/LibWire/FrameType.cpp
@@ -21,6 +21,8 @@
     FrameTypeInfo {FrameType::CrashSuspects, "CrashSuspects", 3},
     FrameTypeInfo {FrameType::CrashSuspectsAck, "CrashSuspectsAck", 2},
     FrameTypeInfo {FrameType::CrashSuspectsQuery, "CrashSuspectsQuery", 1},
+    FrameTypeInfo {FrameType::FleetReport, "FleetReport", 4},
+    FrameTypeInfo {FrameType::FleetReply, "FleetReply", 3},
 };
 
 std::span<const FrameTypeInfo> frameTypeTable()
--- a/Libraries/LibWire/FrameType.h
+++ b/Libraries/LibWire/FrameType.h
@@ -24,6 +24,8 @@
     CrashSuspects = 21,
     CrashSuspectsAck = 22,
     CrashSuspectsQuery = 23,
+    FleetReport = 30,
+    FleetReply = 31,
 };
 
 struct FrameTypeInfo
--- a/Libraries/LibWire/FrameWriter.h
+++ b/Libraries/LibWire/FrameWriter.h
@@ -198,6 +198,19 @@
         begin(FrameType::CrashSuspectsAck);
         put(frame.revision);
     }
+    void write(const FleetReportFrame &frame)
+    {
+        begin(FrameType::FleetReport);
+        put(frame.sequence);
+        put(frame.isBetweenDataCentres);
+        put(frame.sections);
+    }
+    void write(const FleetReplyFrame &frame)
+    {
+        begin(FrameType::FleetReply);
+        put(frame.sequence);
+        put(frame.sections);
+    }
 
 private:
     msgpack::packer<msgpack::sbuffer> m_packer;
--- a/Tests/LibWire/TestFrames.cpp
+++ b/Tests/LibWire/TestFrames.cpp
@@ -45,7 +45,9 @@
         MembershipSyncFrame {"records", true},
         CrashSuspectsFrame {"entries", 12},
         CrashSuspectsAckFrame {12},
-        CrashSuspectsQueryFrame {}};
+        CrashSuspectsQueryFrame {},
+        FleetReportFrame {5, true, "sections"},
+        FleetReplyFrame {5, "sections"}};
 }
 
 class TestFrames : public CppUnit::TestFixture
