Add workspaces with keys, and authenticate callers by them

Workspaces are declared objects now (digests of keys, priority, rate, burst), a route may be public, the caller side finds the workspace of a key in constant time among many, takes the key out of the request and names the workspace to the upstream, whatever the caller sent. Canonical encodings of earlier objects and the behaviour without workspaces stay as they were.

--- a/Libraries/LibConfiguration/Configuration.cpp
+++ b/Libraries/LibConfiguration/Configuration.cpp
@@ -27,6 +27,19 @@
     }
 };
 
+/// The workspaces that hold a key of one part of the index.
+struct KeyHolders
+{
+    /// More than one only where the digests of two keys begin alike, or where two workspaces hold one key.
+    std::vector<std::shared_ptr<const Workspace>> workspaces;
+};
+
+/// Names the place of a key in the index: the beginning of its digest. The whole digest is compared in constant time.
+std::string indexOfKey(const Digest &key)
+{
+    return std::to_string(key.lanes.front());
+}
+
 } // namespace
 
 struct Configuration::Content
@@ -36,6 +49,8 @@
     PersistentMap<ServiceEntry> services;
     PersistentMap<UpstreamLabels> upstreams;
     PersistentMap<Selector> selectors;
+    PersistentMap<Workspace> workspaces;
+    PersistentMap<KeyHolders> keyHolders;
     std::size_t objectCount = 0;
 };
 
@@ -76,6 +91,15 @@
                 forget(*selector);
             }
             return;
+        case ObjectKind::Workspace:
+            if (const auto workspace = m_content.workspaces.find(name.name)) {
+                m_content.workspaces.remove(name.name);
+                for (const Digest &key : workspace->keys) {
+                    changeHolders(key, [&](KeyHolders &holders) { std::erase(holders.workspaces, workspace); });
+                }
+                forget(*workspace);
+            }
+            return;
         }
     }
 
@@ -112,6 +136,29 @@
         changeService(selector.service, [&](ServiceEntry &entry) { entry.selectors.set(selector.name, item); });
     }
 
+    void add(const Workspace &workspace)
+    {
+        const auto item = std::make_shared<const Workspace>(workspace);
+        m_content.workspaces.set(workspace.name, item);
+        for (const Digest &key : workspace.keys) {
+            changeHolders(key, [&](KeyHolders &holders) { holders.workspaces.push_back(item); });
+        }
+    }
+
+    template<typename Change>
+    void changeHolders(const Digest &key, const Change &change)
+    {
+        const std::string index = indexOfKey(key);
+        const auto current = m_content.keyHolders.find(index);
+        auto holders = current != nullptr ? std::make_shared<KeyHolders>(*current) : std::make_shared<KeyHolders>();
+        change(*holders);
+        if (holders->workspaces.empty()) {
+            m_content.keyHolders.remove(index);
+        } else {
+            m_content.keyHolders.set(index, std::move(holders));
+        }
+    }
+
     void removeService(const std::string &name)
     {
         const auto entry = m_content.services.find(name);
@@ -202,6 +249,38 @@
     return entry != nullptr ? entry->selectors.sortedItems() : std::vector<std::shared_ptr<const Selector>>();
 }
 
+std::shared_ptr<const Workspace> Configuration::workspace(std::string_view name) const
+{
+    return m_content->workspaces.find(name);
+}
+
+std::shared_ptr<const Workspace> Configuration::workspaceOfKey(const Digest &key) const
+{
+    const auto holders = m_content->keyHolders.find(indexOfKey(key));
+    if (holders == nullptr) {
+        return nullptr;
+    }
+    std::shared_ptr<const Workspace> found;
+    for (const std::shared_ptr<const Workspace> &workspace : holders->workspaces) {
+        for (const Digest &held : workspace->keys) {
+            if (isSameKey(held, key)) {
+                found = workspace;
+            }
+        }
+    }
+    return found;
+}
+
+bool Configuration::hasWorkspaces() const
+{
+    return !m_content->workspaces.isEmpty();
+}
+
+std::vector<std::shared_ptr<const Workspace>> Configuration::workspaces() const
+{
+    return m_content->workspaces.sortedItems();
+}
+
 std::vector<std::shared_ptr<const UpstreamLabels>> Configuration::upstreamLabelsOf(std::string_view service) const
 {
     const auto entry = m_content->services.find(service);
@@ -223,6 +302,8 @@
         return copyOf(upstreamLabels(name.name));
     case ObjectKind::Selector:
         return copyOf(selector(name.name));
+    case ObjectKind::Workspace:
+        return copyOf(workspace(name.name));
     }
     return std::nullopt;
 }
@@ -238,6 +319,9 @@
     for (const auto &selector : m_content->selectors.sortedItems()) {
         visit(*selector);
     }
+    for (const auto &workspace : m_content->workspaces.sortedItems()) {
+        visit(*workspace);
+    }
 }
 
 void Configuration::forEachChangedService(const Configuration &other, const std::function<void(const std::string &)> &visit) const
--- a/Libraries/LibConfiguration/Configuration.h
+++ b/Libraries/LibConfiguration/Configuration.h
@@ -40,11 +40,17 @@
     std::shared_ptr<const Selector> selector(std::string_view name) const;
     /// The selectors of one service, by name.
     std::vector<std::shared_ptr<const Selector>> selectorsOf(std::string_view service) const;
+    std::shared_ptr<const Workspace> workspace(std::string_view name) const;
+    /// The workspace that holds a key with this digest; nullptr where none does.
+    std::shared_ptr<const Workspace> workspaceOfKey(const Digest &key) const;
+    bool hasWorkspaces() const;
+    /// By name.
+    std::vector<std::shared_ptr<const Workspace>> workspaces() const;
     /// The upstream labels of one service, by upstream id.
     std::vector<std::shared_ptr<const UpstreamLabels>> upstreamLabelsOf(std::string_view service) const;
     /// Nothing where there is no such object.
     std::optional<DeclaredObject> object(const ObjectName &name) const;
-    /// Services, then upstream labels, then selectors; each by name.
+    /// Services, then upstream labels, then selectors, then workspaces; each by name.
     void forEachObject(const std::function<void(const DeclaredObject &)> &visit) const;
 
     /// Calls \a visit with each service whose declaration, upstream labels or selectors differ from those of
--- a/Libraries/LibConfiguration/DeclarationJson.cpp
+++ b/Libraries/LibConfiguration/DeclarationJson.cpp
@@ -4,8 +4,10 @@
 #include <LibConfiguration/RuleNames.h>
 #include <LibCore/JsonObjectReader.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <cmath>
 
 namespace Fuchsiastep {
 
@@ -48,6 +50,7 @@
         reportField(errors, reader.pathOf("repeatability"), "must be \"by-method\", \"always\" or \"never\"");
     }
     rules.repeatability = repeatability.value_or(rules.repeatability);
+    rules.isPublic = reader.optionalBool("public", rules.isPublic);
     reader.finish();
     return rules;
 }
@@ -87,6 +90,40 @@
     return selector;
 }
 
+static std::vector<Digest> readKeys(JsonObjectReader &reader, std::vector<Error> &errors)
+{
+    std::vector<Digest> keys;
+    for (const std::string &text : reader.optionalStrings("keys")) {
+        const std::optional<Digest> key = Digest::fromHex(text);
+        if (!key) {
+            // The text is not repeated: it may be a key by mistake.
+            reportField(errors, reader.pathOf("keys"), "must be SHA-256 digests of 64 hexadecimal digits");
+            return {};
+        }
+        keys.push_back(*key);
+    }
+    std::sort(keys.begin(), keys.end(), [](const Digest &left, const Digest &right) { return left.lanes < right.lanes; });
+    return keys;
+}
+
+static Workspace readWorkspace(JsonObjectReader &reader, std::vector<Error> &errors)
+{
+    constexpr double Thousand = 1000;
+    Workspace workspace;
+    workspace.name = reader.requiredString("name");
+    workspace.keys = readKeys(reader, errors);
+    if (reader.has("priority")) {
+        workspace.priority = priorityFromName(reader.requiredString("priority"));
+        if (!workspace.priority) {
+            reportField(errors, reader.pathOf("priority"), "must be \"low\", \"normal\" or \"high\"");
+        }
+    }
+    const double rate = reader.optionalNumber("rate_per_second", 0, 0, MaximumRequestRate);
+    workspace.milliRequestsPerSecond = static_cast<std::uint64_t>(std::ceil(rate * Thousand));
+    workspace.burst = static_cast<std::uint64_t>(reader.optionalInteger("burst", 0, 0, MaximumRequestRate));
+    return workspace;
+}
+
 DeclaredObject readObject(ObjectKind kind, const JsonValue &value, const std::string &path, std::vector<Error> &errors)
 {
     std::vector<Error> found;
@@ -102,6 +139,9 @@
     case ObjectKind::Selector:
         object = readSelector(reader, found);
         break;
+    case ObjectKind::Workspace:
+        object = readWorkspace(reader, found);
+        break;
     }
     reader.finish();
     if (found.empty()) {
@@ -141,9 +181,28 @@
         {"locality", localityName(rules.locality)},
         {"target_ms", millisecondsOf(rules.targetLatency)},
         {"repeatability", repeatabilityName(rules.repeatability)},
+        {"public", rules.isPublic},
     };
 }
 
+static JsonValue workspaceToJson(const Workspace &workspace)
+{
+    JsonValue::Array keys;
+    for (const Digest &key : workspace.keys) {
+        keys.emplace_back(key.toHex());
+    }
+    JsonValue::Object object {
+        {"name", workspace.name},
+        {"keys", std::move(keys)},
+        {"rate_per_second", workspace.requestsPerSecond()},
+        {"burst", workspace.burst},
+    };
+    if (workspace.priority) {
+        object.emplace("priority", priorityName(*workspace.priority));
+    }
+    return object;
+}
+
 JsonValue toJson(const DeclaredObject &object)
 {
     return std::visit(Overloaded {
@@ -168,13 +227,14 @@
                                   {"rules", rulesToJson(selector.rules)},
                               };
                           },
+                          [](const Workspace &workspace) -> JsonValue { return workspaceToJson(workspace); },
                       },
         object);
 }
 
 std::string_view declarationKey(ObjectKind kind)
 {
-    static constexpr std::array<std::string_view, 3> Keys {"services", "upstreams", "selectors"};
+    static constexpr std::array<std::string_view, 4> Keys {"services", "upstreams", "selectors", "workspaces"};
     return Keys.at(static_cast<std::size_t>(kind));
 }
 
--- a/Libraries/LibConfiguration/DeclarationJson.h
+++ b/Libraries/LibConfiguration/DeclarationJson.h
@@ -16,7 +16,7 @@
 /// The JSON form that readObject() reads, with every field written out.
 JsonValue toJson(const DeclaredObject &object);
 
-/// The key of a declaration file under which objects of \a kind are listed: "services", "upstreams" or "selectors".
+/// The key of a declaration file under which objects of \a kind are listed: "services", "upstreams", "selectors" or "workspaces".
 std::string_view declarationKey(ObjectKind kind);
 
 } // namespace Fuchsiastep
--- a/Libraries/LibConfiguration/Declarations.cpp
+++ b/Libraries/LibConfiguration/Declarations.cpp
@@ -10,7 +10,7 @@
 
 namespace Fuchsiastep {
 
-static constexpr std::array<ObjectKind, 3> Kinds {ObjectKind::Service, ObjectKind::Upstream, ObjectKind::Selector};
+static constexpr std::array<ObjectKind, 4> Kinds {ObjectKind::Service, ObjectKind::Upstream, ObjectKind::Selector, ObjectKind::Workspace};
 
 static Result<std::string> tryReadFile(const std::string &path)
 {
--- a/Libraries/LibConfiguration/DeclaredObject.cpp
+++ b/Libraries/LibConfiguration/DeclaredObject.cpp
@@ -19,6 +19,9 @@
                           [](const Selector &selector) {
                               return ObjectName {ObjectKind::Selector, selector.name};
                           },
+                          [](const Workspace &workspace) {
+                              return ObjectName {ObjectKind::Workspace, workspace.name};
+                          },
                       },
         object);
 }
--- a/Libraries/LibConfiguration/DeclaredObject.h
+++ b/Libraries/LibConfiguration/DeclaredObject.h
@@ -4,6 +4,7 @@
 #include <LibConfiguration/Selector.h>
 #include <LibConfiguration/ServiceDeclaration.h>
 #include <LibConfiguration/UpstreamLabels.h>
+#include <LibConfiguration/Workspace.h>
 #include <LibCore/Digest.h>
 #include <LibCore/Result.h>
 
@@ -14,7 +15,7 @@
 namespace Fuchsiastep {
 
 /// An object that operators declare.
-using DeclaredObject = std::variant<ServiceDeclaration, UpstreamLabels, Selector>;
+using DeclaredObject = std::variant<ServiceDeclaration, UpstreamLabels, Selector, Workspace>;
 
 ObjectName nameOf(const DeclaredObject &object);
 
--- a/Libraries/LibConfiguration/LibConfiguration.h
+++ b/Libraries/LibConfiguration/LibConfiguration.h
@@ -29,3 +29,4 @@
 #include <LibConfiguration/SnapshotObject.h>
 #include <LibConfiguration/UpstreamLabels.h>
 #include <LibConfiguration/View.h>
+#include <LibConfiguration/Workspace.h>
--- a/Libraries/LibConfiguration/MsgpackReader.cpp
+++ b/Libraries/LibConfiguration/MsgpackReader.cpp
@@ -87,6 +87,17 @@
     return digest;
 }
 
+std::vector<Digest> MsgpackReader::takeDigests()
+{
+    std::vector<Digest> digests;
+    MsgpackReader inner = nested();
+    while (inner.hasMore()) {
+        digests.push_back(inner.takeDigest());
+    }
+    check(inner);
+    return digests;
+}
+
 Labels MsgpackReader::takeLabels()
 {
     Labels labels;
@@ -113,7 +124,7 @@
 {
     MsgpackReader inner = nested();
     ObjectName name;
-    name.kind = inner.takeEnumerator(ObjectKind::Selector);
+    name.kind = inner.takeEnumerator(ObjectKind::Workspace);
     name.name = inner.takeString();
     check(inner);
     return name;
@@ -131,6 +142,7 @@
     rules.locality = inner.takeEnumerator(LocalityPreference::Fastest);
     rules.targetLatency = Duration(inner.takeSigned(0, std::numeric_limits<std::int64_t>::max()));
     rules.repeatability = inner.takeEnumerator(Repeatability::Never);
+    rules.isPublic = inner.hasMore() && inner.takeBool();
     check(inner);
     return rules;
 }
@@ -169,11 +181,25 @@
     return selector;
 }
 
+static Workspace readWorkspace(MsgpackReader &reader)
+{
+    Workspace workspace;
+    workspace.name = reader.takeString();
+    workspace.keys = reader.takeDigests();
+    const std::uint64_t priority = reader.takeUnsigned(static_cast<std::uint64_t>(RequestPriority::High) + 1);
+    if (priority > 0) {
+        workspace.priority = static_cast<RequestPriority>(priority - 1);
+    }
+    workspace.milliRequestsPerSecond = reader.takeUnsigned();
+    workspace.burst = reader.takeUnsigned();
+    return workspace;
+}
+
 DeclaredObject MsgpackReader::takeObject()
 {
     MsgpackReader inner = nested();
     DeclaredObject object;
-    switch (inner.takeEnumerator(ObjectKind::Selector)) {
+    switch (inner.takeEnumerator(ObjectKind::Workspace)) {
     case ObjectKind::Service:
         object = readService(inner);
         break;
@@ -183,6 +209,9 @@
     case ObjectKind::Selector:
         object = readSelector(inner);
         break;
+    case ObjectKind::Workspace:
+        object = readWorkspace(inner);
+        break;
     }
     check(inner);
     return object;
--- a/Libraries/LibConfiguration/MsgpackReader.h
+++ b/Libraries/LibConfiguration/MsgpackReader.h
@@ -42,6 +42,7 @@
         return static_cast<Enumeration>(takeUnsigned(static_cast<std::uint64_t>(last)));
     }
     Digest takeDigest();
+    std::vector<Digest> takeDigests();
     Labels takeLabels();
     std::vector<std::string> takeStrings();
     ObjectName takeObjectName();
--- a/Libraries/LibConfiguration/MsgpackWriter.cpp
+++ b/Libraries/LibConfiguration/MsgpackWriter.cpp
@@ -36,7 +36,8 @@
 
 void MsgpackWriter::put(const RouteRules &rules)
 {
-    beginArray(8);
+    // The last field is left out where it has its default, so that the digests of earlier configurations stay the same.
+    beginArray(rules.isPublic ? 9 : 8);
     put(static_cast<std::int64_t>(rules.timeout.count()));
     put(rules.repeatableMethods);
     put(rules.isKeyRequired);
@@ -45,6 +46,9 @@
     putEnumerator(rules.locality);
     put(static_cast<std::int64_t>(rules.targetLatency.count()));
     putEnumerator(rules.repeatability);
+    if (rules.isPublic) {
+        put(rules.isPublic);
+    }
 }
 
 void MsgpackWriter::put(const DeclaredObject &object)
@@ -77,6 +81,19 @@
                        put(static_cast<std::uint64_t>(selector.weight));
                        put(selector.rules);
                    },
+                   [&](const Workspace &workspace) {
+                       beginArray(6);
+                       putEnumerator(ObjectKind::Workspace);
+                       put(std::string_view(workspace.name));
+                       beginArray(workspace.keys.size());
+                       for (const Digest &key : workspace.keys) {
+                           put(key);
+                       }
+                       // 0 stands for none.
+                       put(workspace.priority ? static_cast<std::uint64_t>(*workspace.priority) + 1 : std::uint64_t(0));
+                       put(workspace.milliRequestsPerSecond);
+                       put(workspace.burst);
+                   },
                },
         object);
 }
--- a/Libraries/LibConfiguration/ObjectName.cpp
+++ b/Libraries/LibConfiguration/ObjectName.cpp
@@ -4,7 +4,7 @@
 
 namespace Fuchsiastep {
 
-static constexpr std::array<std::string_view, 3> KindNames {"service", "upstream", "selector"};
+static constexpr std::array<std::string_view, 4> KindNames {"service", "upstream", "selector", "workspace"};
 
 std::string_view objectKindName(ObjectKind kind)
 {
--- a/Libraries/LibConfiguration/ObjectName.h
+++ b/Libraries/LibConfiguration/ObjectName.h
@@ -13,9 +13,10 @@
     Service = 0,
     Upstream = 1,
     Selector = 2,
+    Workspace = 3,
 };
 
-/// "service", "upstream" or "selector".
+/// "service", "upstream", "selector" or "workspace".
 std::string_view objectKindName(ObjectKind kind);
 std::optional<ObjectKind> objectKindFromName(std::string_view name);
 
--- a/Libraries/LibConfiguration/ObjectValidation.cpp
+++ b/Libraries/LibConfiguration/ObjectValidation.cpp
@@ -66,6 +66,21 @@
         check(selector.rules);
     }
 
+    void check(const Workspace &workspace)
+    {
+        checkName("name", workspace.name);
+        constexpr std::uint64_t Thousand = 1000;
+        if (workspace.milliRequestsPerSecond > MaximumRequestRate * Thousand) {
+            report("rate_per_second", rangeText(0, MaximumRequestRate));
+        }
+        if (workspace.burst > static_cast<std::uint64_t>(MaximumRequestRate)) {
+            report("burst", rangeText(0, MaximumRequestRate));
+        }
+        if (std::adjacent_find(workspace.keys.begin(), workspace.keys.end()) != workspace.keys.end()) {
+            report("keys", "must not list a key twice");
+        }
+    }
+
     std::vector<FieldProblem> take()
     {
         return std::move(m_problems);
--- a/Libraries/LibConfiguration/ObjectValidation.h
+++ b/Libraries/LibConfiguration/ObjectValidation.h
@@ -14,6 +14,8 @@
 constexpr std::int64_t MaximumRetryCount = 5;
 constexpr std::int64_t MaximumPrecedence = 1000;
 constexpr std::int64_t MaximumWeight = 1'000'000;
+/// Requests a second, and requests of a burst.
+constexpr std::int64_t MaximumRequestRate = 1'000'000'000;
 
 /// What is wrong with one field of a declared object.
 struct FieldProblem
--- a/Libraries/LibConfiguration/RouteRules.h
+++ b/Libraries/LibConfiguration/RouteRules.h
@@ -53,6 +53,8 @@
     /// rather than queued.
     Duration targetLatency {0};
     Repeatability repeatability = Repeatability::ByMethod;
+    /// Callers need no key of a workspace.
+    bool isPublic = false;
 
     /// Whether a request with this method may run more than once.
     bool isRepeatable(std::string_view method) const;
--- a/Libraries/LibCore/ErrorCode.cpp
+++ b/Libraries/LibCore/ErrorCode.cpp
@@ -81,6 +81,9 @@
         "AnswerTooLarge",
         502,
         "The upstream's answer is larger than this proxy can hold; the outcome is unknown."},
+    ErrorCodeInfo {
+        ErrorCode::WorkspaceKeyMissing, "WorkspaceKeyMissing", 401, "The route needs a key of a workspace; the request was not run."},
+    ErrorCodeInfo {ErrorCode::WorkspaceKeyUnknown, "WorkspaceKeyUnknown", 401, "No workspace holds the key; the request was not run."},
     ErrorCodeInfo {ErrorCode::OperatorRequestMalformed, "OperatorRequestMalformed", 400, "An operator request is not valid."},
     ErrorCodeInfo {ErrorCode::WaitTimeout, "WaitTimeout", 504, "The version was not in force everywhere before the deadline."},
     ErrorCodeInfo {ErrorCode::ProxyUnreachable, "ProxyUnreachable", 503, "The proxy cannot be reached."},
--- a/Libraries/LibCore/ErrorCode.h
+++ b/Libraries/LibCore/ErrorCode.h
@@ -74,6 +74,8 @@
     HeadTimeout = 622,
     PlacementDeclined = 623,
     AnswerTooLarge = 624,
+    WorkspaceKeyMissing = 640,
+    WorkspaceKeyUnknown = 641,
 
     OperatorRequestMalformed = 700,
     WaitTimeout = 701,
--- a/Libraries/LibProxy/EdgeProtocol.cpp
+++ b/Libraries/LibProxy/EdgeProtocol.cpp
@@ -29,6 +29,7 @@
     protocol.formatAnswer = formatCallAnswer;
     protocol.formatUpstreamRequest = formatUpstreamRequest;
     protocol.classifyAnswer = classifyAnswer;
+    protocol.workspaceHeaders = {WorkspaceKeyHeader, WorkspaceHeader};
     protocol.readControl = [](const HttpRequest &) {
         return ControlMessage();
     };
--- a/Libraries/LibProxy/EdgeProtocol.h
+++ b/Libraries/LibProxy/EdgeProtocol.h
@@ -2,6 +2,7 @@
 
 #include <LibHttp/LibHttp.h>
 #include <LibPlatform/LibPlatform.h>
+#include <LibProxy/CallAuthentication.h>
 #include <LibProxy/CallParser.h>
 #include <LibProxy/ConfigurationDocument.h>
 #include <LibProxy/UpstreamAnnouncement.h>
@@ -58,6 +59,7 @@
     /// The request as it is sent to the upstream. \a timeLeft is what the upstream is granted.
     std::function<HttpMessage(const RequestFrame &request, Duration timeLeft)> formatUpstreamRequest;
     std::function<UpstreamAnswerKind(const RequestFrame &request, const HttpMessage &answer, AnswerOrigin origin)> classifyAnswer;
+    WorkspaceHeaders workspaceHeaders;
     /// Upstreams tell in each answer which request it belongs to, so that a repeated answer is recognised.
     bool doAnswersNameRequests = false;
     std::function<ControlMessage(const HttpRequest &request)> readControl;
--- a/Libraries/LibProxy/HttpHeaders.h
+++ b/Libraries/LibProxy/HttpHeaders.h
@@ -8,6 +8,10 @@
 constexpr const char *CallerHeader = "fuchsiastep-caller";
 /// Idempotency key of a request that runs at most once.
 constexpr const char *KeyHeader = "idempotency-key";
+/// Key of the caller's workspace. Never passed on.
+constexpr const char *WorkspaceKeyHeader = "fuchsiastep-key";
+/// Name of the caller's workspace, towards the upstream.
+constexpr const char *WorkspaceHeader = "fuchsiastep-workspace";
 /// Time left in milliseconds, from the caller and towards the upstream.
 constexpr const char *DeadlineHeader = "fuchsiastep-deadline-ms";
 /// "answered", "not-run" or "unknown", on every answer to a caller.
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -266,6 +266,12 @@
         refuseCall(token, {ErrorCode::Draining, m_settings.proxyId});
         return;
     }
+    const Result<std::shared_ptr<const Workspace>> workspace =
+        tryAuthenticateCall(call, *m_view->configuration(), valueOf(route)->selector->rules, m_protocol.workspaceHeaders);
+    if (isError(workspace)) {
+        refuseCall(token, errorOf(workspace));
+        return;
+    }
     call.service = valueOf(route)->selector->service;
     m_calls[token].service = call.service;
     CallerRequest accepted;
@@ -280,6 +286,7 @@
     accepted.timeLeft = call.timeLeft;
     accepted.body = std::move(call.body);
     accepted.route = valueOf(route);
+    accepted.workspace = valueOf(workspace);
     run(m_coordinator.handle(std::move(accepted)));
 }
 
--- a/Libraries/LibRequest/CoordinatorInput.h
+++ b/Libraries/LibRequest/CoordinatorInput.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibConfiguration/Route.h>
+#include <LibConfiguration/Workspace.h>
 #include <LibCore/LibCore.h>
 #include <LibRequest/DrainRequested.h>
 #include <LibWire/AnswerFrame.h>
@@ -34,6 +35,8 @@
     std::shared_ptr<const Route> route;
     /// The caller's id of the request, for logs.
     std::string traceId;
+    /// nullptr for none.
+    std::shared_ptr<const Workspace> workspace;
 };
 
 /// The caller disconnected. It gets no answer.
--- a/Libraries/LibRequest/LibRequest.h
+++ b/Libraries/LibRequest/LibRequest.h
@@ -22,3 +22,4 @@
 #include <LibRequest/TransitDelay.h>
 #include <LibRequest/TransitDelays.h>
 #include <LibRequest/UpstreamGate.h>
+#include <LibRequest/WorkspaceAuthentication.h>
--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -46,6 +46,13 @@
     return rules.targetLatency.count() > 0;
 }
 
+/// The priority of the workspace replaces that of the route.
+static RequestPriority priorityOf(const CallerRequest &request)
+{
+    const RequestPriority ofRoute = rulesOf(request).priority;
+    return request.workspace != nullptr ? request.workspace->priority.value_or(ofRoute) : ofRoute;
+}
+
 /// Size of what a frame carries of the head of a request, in bytes.
 static std::size_t headBytes(const CallerRequest &request)
 {
@@ -404,7 +411,7 @@
     frame.method = request.method;
     frame.path = request.path;
     frame.headers = request.headers;
-    setPriority(frame.headers, rulesOf(request).priority);
+    setPriority(frame.headers, priorityOf(request));
     frame.key = request.key;
     frame.isRepeatable = pending.isRepeatable;
     const Duration left = pending.deadline - m_clock.now();
@@ -413,6 +420,7 @@
         static_cast<std::uint32_t>(std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(left - margin).count()));
     frame.body = request.body;
     frame.traceId = request.traceId;
+    frame.workspace = request.workspace != nullptr ? request.workspace->name : std::string();
     frame.sentAtMs = m_clock.uninterruptedMilliseconds();
     frame.selector = request.route->selector->name;
     if (pending.targetAt) {
--- a/Libraries/LibWire/FrameCodec.cpp
+++ b/Libraries/LibWire/FrameCodec.cpp
@@ -19,6 +19,7 @@
     reader.takeAll(frame.requestId, frame.service, frame.upstreamId, frame.caller, frame.method, frame.path, frame.headers);
     reader.takeAll(frame.key, frame.isRepeatable, frame.timeLeftMs, frame.isIsolated, frame.body);
     reader.takeAll(frame.selector, frame.targetLeftMs, frame.maximumWaitMs, frame.sentAtMs, frame.traceId);
+    reader.takeAll(frame.workspace, frame.authorizedForMs);
 }
 void readFields(FrameReader &reader, AnswerFrame &frame)
 {
--- a/Libraries/LibWire/FrameType.cpp
+++ b/Libraries/LibWire/FrameType.cpp
@@ -6,7 +6,7 @@
 
 static constexpr std::array FrameTypes {
     FrameTypeInfo {FrameType::Hello, "Hello", 5},
-    FrameTypeInfo {FrameType::Request, "Request", 18},
+    FrameTypeInfo {FrameType::Request, "Request", 20},
     FrameTypeInfo {FrameType::Answer, "Answer", 11},
     FrameTypeInfo {FrameType::AnswerPart, "AnswerPart", 5},
     FrameTypeInfo {FrameType::Cancel, "Cancel", 2},
--- a/Libraries/LibWire/FrameWriter.h
+++ b/Libraries/LibWire/FrameWriter.h
@@ -103,6 +103,8 @@
         put(frame.maximumWaitMs);
         put(frame.sentAtMs);
         put(frame.traceId);
+        put(frame.workspace);
+        put(frame.authorizedForMs);
     }
     void write(const AnswerFrame &frame)
     {
--- a/Libraries/LibWire/HelloFrame.h
+++ b/Libraries/LibWire/HelloFrame.h
@@ -8,7 +8,7 @@
 /// First frame in both directions of a connection.
 struct HelloFrame
 {
-    static constexpr std::uint32_t CurrentProtocol = 2;
+    static constexpr std::uint32_t CurrentProtocol = 3;
 
     std::uint32_t protocol = CurrentProtocol;
     std::string proxyId;
--- a/Libraries/LibWire/RequestFrame.h
+++ b/Libraries/LibWire/RequestFrame.h
@@ -37,6 +37,10 @@
     std::uint64_t sentAtMs = 0;
     /// The caller's id of the request, for logs.
     std::string traceId;
+    /// Workspace whose key the caller sent; empty for none.
+    std::string workspace;
+    /// The key is certain to be valid for this time from the sending of the frame; 0 where it does not end.
+    std::uint32_t authorizedForMs = 0;
 
     bool operator==(const RequestFrame &) const = default;
 };
--- a/Tests/LibWire/TestFrames.cpp
+++ b/Tests/LibWire/TestFrames.cpp
@@ -20,6 +20,8 @@
     request.sentAtMs = 1234567890123;
     request.maximumWaitMs = 20;
     request.traceId = "9c41";
+    request.workspace = "north";
+    request.authorizedForMs = 900;
     AnswerFrame answer;
     answer.requestId = 7;
     answer.outcome = RequestOutcome::NotRun;
--- a/Utilities/fuchsiactl/DeclarationFiles.cpp
+++ b/Utilities/fuchsiactl/DeclarationFiles.cpp
@@ -40,7 +40,8 @@
     std::vector<Error> errors;
     for (const auto &[name, object] : objects) {
         const std::string service = fieldText(object, "service");
-        if (name.kind != ObjectKind::Service && !objects.contains({ObjectKind::Service, service})) {
+        const bool hasService = name.kind == ObjectKind::Upstream || name.kind == ObjectKind::Selector;
+        if (hasService && !objects.contains({ObjectKind::Service, service})) {
             errors.push_back({ErrorCode::DanglingReference, toText(name) + ": service: '" + service + "' is not declared"});
         }
     }
--- a/Utilities/fuchsiactl/ObjectKinds.h
+++ b/Utilities/fuchsiactl/ObjectKinds.h
@@ -22,10 +22,11 @@
 };
 
 /// In the order in which objects refer to each other.
-constexpr std::array<ObjectKindInfo, 3> ObjectKinds {{
+constexpr std::array<ObjectKindInfo, 4> ObjectKinds {{
     {ObjectKind::Service, "service", "services", "name"},
     {ObjectKind::Upstream, "upstream", "upstreams", "id"},
     {ObjectKind::Selector, "selector", "selectors", "name"},
+    {ObjectKind::Workspace, "workspace", "workspaces", "name"},
 }};
 
 const ObjectKindInfo &objectKindInfo(ObjectKind kind);
