Keep quotas over all instances, and revoke keys strictly

Tokens of a quota come from the coordinator of the data centre and end soon; a proxy honours a key only while it knows that its version was the newest one a short while ago. Both use the fleet exchange, and neither calls the platform for a request. Both take effect only with the settings block workspaces.

--- a/Libraries/LibConfiguration/DocumentReader.cpp
+++ b/Libraries/LibConfiguration/DocumentReader.cpp
@@ -24,11 +24,13 @@
     const TimePoint now = m_clock.now();
     if (m_nextRead && now >= *m_nextRead) {
         m_nextRead.reset();
+        m_readSentAtMs = m_clock.uninterruptedMilliseconds();
         m_readCall = call(ReadRows {{m_settings.key}});
     }
     if (m_nextWatch && now >= *m_nextWatch) {
         m_nextWatch.reset();
         m_watchDue = now + watchTime();
+        m_watchSentAtMs = m_clock.uninterruptedMilliseconds();
         m_watchCall = call(WatchRows {m_settings.key, m_watchedRevision, watchTime()});
     }
     return takeOutputs();
@@ -49,6 +51,20 @@
     }
 }
 
+void DocumentReader::accept(const DocumentConfirmationWanted &)
+{
+    if (m_readCall || m_watchCall || m_nextRead) {
+        return;
+    }
+    if (!m_hasDocument) {
+        m_nextRead = m_clock.now();
+        return;
+    }
+    m_watchDue = m_clock.now();
+    m_watchSentAtMs = m_clock.uninterruptedMilliseconds();
+    m_watchCall = call(WatchRows {m_settings.key, m_watchedRevision, Duration(0)});
+}
+
 void DocumentReader::accept(const WatchRole &role)
 {
     const bool hasBegun = role.isWatching && !m_isWatching;
@@ -73,6 +89,7 @@
     m_watchCall.reset();
     m_nextWatch.reset();
     m_watchedRevision = 0;
+    m_hasDocument = false;
     if (isWanted) {
         m_nextRead = m_clock.now();
     }
@@ -104,7 +121,9 @@
         return;
     }
     m_backoff.reset();
-    if (!findDocument(rows->rows)) {
+    if (findDocument(rows->rows)) {
+        confirm(m_readSentAtMs);
+    } else {
         m_outputs.emplace_back(DocumentMissing {});
     }
     // A watch after a later revision was begun before the platform went back.
@@ -123,7 +142,9 @@
         m_nextRead = m_clock.now();
     } else if (changes != nullptr) {
         m_backoff.reset();
-        scheduleWatch(changes->revision, findDocument(changes->rows));
+        const bool hasChanged = findDocument(changes->rows);
+        confirm(m_watchSentAtMs);
+        scheduleWatch(changes->revision, hasChanged);
     } else {
         fail(response, m_clock.now() >= m_watchDue);
     }
@@ -136,9 +157,17 @@
     if (found != rows.rend()) {
         m_outputs.emplace_back(DocumentFound {found->value, found->revision});
     }
+    m_hasDocument = m_hasDocument || found != rows.rend();
     return found != rows.rend();
 }
 
+void DocumentReader::confirm(std::uint64_t sentAtMs)
+{
+    if (m_hasDocument) {
+        m_outputs.emplace_back(DocumentConfirmed {sentAtMs});
+    }
+}
+
 void DocumentReader::scheduleWatch(std::uint64_t revision, bool hasChanged)
 {
     m_watchedRevision = revision;
--- a/Libraries/LibConfiguration/DocumentReader.h
+++ b/Libraries/LibConfiguration/DocumentReader.h
@@ -43,7 +43,11 @@
     std::uint32_t rank = 0;
 };
 
-using DocumentReaderInput = std::variant<DocumentWanted, WatchRole, PlatformRestored, PlatformReply>;
+/// Input: it matters whether the document last read is still the newest. Asked of the platform where no call is in progress.
+struct DocumentConfirmationWanted
+{ };
+
+using DocumentReaderInput = std::variant<DocumentWanted, DocumentConfirmationWanted, WatchRole, PlatformRestored, PlatformReply>;
 
 /// Output: the newest document. Given after each successful read and each change.
 struct DocumentFound
@@ -52,6 +56,13 @@
     std::uint64_t revision = 0;
 };
 
+/// Output: the document last found was the newest one when the call was sent, on the clock that counts suspensions. Follows a
+/// DocumentFound of the same answer.
+struct DocumentConfirmed
+{
+    std::uint64_t sentAtMs = 0;
+};
+
 /// Output: the platform was read, and has no document yet.
 struct DocumentMissing
 { };
@@ -62,7 +73,7 @@
     Error error;
 };
 
-using DocumentReaderOutput = std::variant<PlatformCall, DocumentFound, DocumentMissing, DocumentFailure>;
+using DocumentReaderOutput = std::variant<PlatformCall, DocumentFound, DocumentConfirmed, DocumentMissing, DocumentFailure>;
 
 /// Follows a configuration that operators write as one document into one row. It reads the row once and then watches
 /// it, so that a change costs one answer. Watches are short: one that is never answered must not delay the changes that
@@ -80,6 +91,7 @@
 
 private:
     void accept(const DocumentWanted &wanted);
+    void accept(const DocumentConfirmationWanted &wanted);
     void accept(const WatchRole &role);
     void accept(const PlatformRestored &restored);
     void accept(const PlatformReply &reply);
@@ -89,6 +101,7 @@
     void scheduleWatch(std::uint64_t revision, bool hasChanged);
     Duration watchTime() const;
     void fail(const PlatformResponse &response, bool isOverdue);
+    void confirm(std::uint64_t sentAtMs);
     CallId call(PlatformRequest request);
     std::vector<DocumentReaderOutput> takeOutputs();
 
@@ -99,6 +112,10 @@
     CallId m_nextCall = 1;
     std::optional<CallId> m_readCall;
     std::optional<CallId> m_watchCall;
+    std::uint64_t m_readSentAtMs = 0;
+    std::uint64_t m_watchSentAtMs = 0;
+    /// A document was found, so that a watch without a change confirms it.
+    bool m_hasDocument = false;
     /// When the watch in progress is answered at the latest, by a platform that has not lost it.
     TimePoint m_watchDue;
     std::optional<TimePoint> m_nextRead;
--- a/Libraries/LibCore/ErrorCode.cpp
+++ b/Libraries/LibCore/ErrorCode.cpp
@@ -84,6 +84,13 @@
     ErrorCodeInfo {
         ErrorCode::WorkspaceKeyMissing, "WorkspaceKeyMissing", 401, "The route needs a key of a workspace; the request was not run."},
     ErrorCodeInfo {ErrorCode::WorkspaceKeyUnknown, "WorkspaceKeyUnknown", 401, "No workspace holds the key; the request was not run."},
+    ErrorCodeInfo {
+        ErrorCode::KeyUnconfirmed, "KeyUnconfirmed", 503, "It is not known whether the key is still valid; the request was not run."},
+    ErrorCodeInfo {ErrorCode::QuotaExceeded, "QuotaExceeded", 429, "The workspace has used up its quota; the request was not run."},
+    ErrorCodeInfo {ErrorCode::QuotaUnavailable,
+        "QuotaUnavailable",
+        503,
+        "It is not known whether the workspace has room in its quota; the request was not run."},
     ErrorCodeInfo {ErrorCode::OperatorRequestMalformed, "OperatorRequestMalformed", 400, "An operator request is not valid."},
     ErrorCodeInfo {ErrorCode::WaitTimeout, "WaitTimeout", 504, "The version was not in force everywhere before the deadline."},
     ErrorCodeInfo {ErrorCode::ProxyUnreachable, "ProxyUnreachable", 503, "The proxy cannot be reached."},
--- a/Libraries/LibCore/ErrorCode.h
+++ b/Libraries/LibCore/ErrorCode.h
@@ -76,6 +76,9 @@
     AnswerTooLarge = 624,
     WorkspaceKeyMissing = 640,
     WorkspaceKeyUnknown = 641,
+    KeyUnconfirmed = 642,
+    QuotaExceeded = 645,
+    QuotaUnavailable = 646,
 
     OperatorRequestMalformed = 700,
     WaitTimeout = 701,
--- a/Libraries/LibProxy/ConfigurationTask.cpp
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -79,6 +79,11 @@
     if (!protocol.documentKey.empty()) {
         DocumentReaderSettings documents;
         documents.key = protocol.documentKey;
+        if (settings.workspaces && settings.workspaces->isRevocationStrict) {
+            // A watch confirms the version when it is answered.
+            constexpr int ConfirmationsPerRevocation = 12;
+            documents.watchTime = std::min(documents.watchTime, settings.workspaces->revocationTime / ConfirmationsPerRevocation);
+        }
         m_documents.emplace(std::move(documents), clock, random);
     }
 }
@@ -144,6 +149,13 @@
     }
 }
 
+void ConfigurationTask::handle(const ConfirmationWanted &)
+{
+    if (m_documents) {
+        run(m_documents->handle(DocumentConfirmationWanted {}));
+    }
+}
+
 void ConfigurationTask::handle(const MemberChange &change)
 {
     run(m_distributor.handle(change));
@@ -186,6 +198,7 @@
 void ConfigurationTask::handle(const PlatformRestored &restored)
 {
     m_metrics.count("fuchsiastep_platform_restores_total");
+    m_documentVersion = 0;
     if (m_documents) {
         run(m_documents->handle(restored));
     } else {
@@ -431,6 +444,7 @@
                            });
                        },
                        [this](const DocumentFound &found) { adoptDocument(found); },
+                       [this](const DocumentConfirmed &confirmed) { confirmDocument(confirmed); },
                        [](const DocumentMissing &) { logEvent(LogEvent::DocumentMissing); },
                        [this](const DocumentFailure &failure) {
                            m_metrics.count("fuchsiastep_reader_failures_total");
@@ -451,6 +465,7 @@
         return;
     }
     const ConfigurationVersion version = valueOf(document).version;
+    m_documentVersion = version;
     m_sourceRevision = found.revision;
     // A version that came from a peer came without the limits of callers.
     if (version >= m_holder.current()->version() && m_callerLimits != valueOf(document).callerLimits) {
@@ -470,6 +485,14 @@
     run(m_gate.handle(HeadRead {version}));
 }
 
+void ConfigurationTask::confirmDocument(const DocumentConfirmed &confirmed)
+{
+    // A platform that came back from an older copy tells nothing about the versions that it has lost.
+    if (m_documentVersion >= m_holder.current()->version()) {
+        m_onEvent(NewestVersionConfirmed {m_documentVersion, confirmed.sentAtMs});
+    }
+}
+
 void ConfigurationTask::compareContent(const std::vector<DeclaredObject> &objects)
 {
     const ConfigurationVersion version = m_holder.current()->version();
--- a/Libraries/LibProxy/ConfigurationTask.h
+++ b/Libraries/LibProxy/ConfigurationTask.h
@@ -36,7 +36,12 @@
     std::string proxyId;
 };
 
+/// Somebody has to know whether the version held is still the newest.
+struct ConfirmationWanted
+{ };
+
 using ConfigurationTaskMessage = std::variant<PeerFrame,
+    ConfirmationWanted,
     PeerLost,
     PeerVersion,
     MemberChange,
@@ -57,8 +62,15 @@
     VersionStamp held;
 };
 
-using ConfigurationTaskEvent =
-    std::variant<ViewChanged, UpstreamGone, ReadinessChanged, VersionHeld, VersionUnacknowledged, CallerLimitsChanged>;
+/// The version was the newest one in the platform at this moment, on the clock that counts suspensions.
+struct NewestVersionConfirmed
+{
+    ConfigurationVersion version = 0;
+    std::uint64_t knownAtMs = 0;
+};
+
+using ConfigurationTaskEvent = std::
+    variant<NewestVersionConfirmed, ViewChanged, UpstreamGone, ReadinessChanged, VersionHeld, VersionUnacknowledged, CallerLimitsChanged>;
 
 /// Keeps the view current: it owns the configuration in force, the reader of the platform, the distribution between
 /// proxies, the gate that keeps a new proxy from serving too early, and the operators' changes in progress.
@@ -90,6 +102,7 @@
     void handle(const PeerFrame &frame);
     void handle(const PeerVersion &version);
     void handle(const PeerLost &lost);
+    void handle(const ConfirmationWanted &wanted);
     void handle(const MemberChange &change);
     void handle(const EndpointsChanged &change);
     void handle(const FreezeDetected &freeze);
@@ -107,6 +120,7 @@
     void run(std::vector<StartupGateOutput> outputs);
     void run(std::vector<DocumentReaderOutput> outputs);
     void adoptDocument(const DocumentFound &found);
+    void confirmDocument(const DocumentConfirmed &confirmed);
     /// The content of the version held was read from the platform.
     void compareContent(const std::vector<DeclaredObject> &objects);
     void reportDiverged(const std::string &source, const Digest &digest);
@@ -152,6 +166,8 @@
     bool m_isPlatformReadable = true;
     /// From the last document that was read; nothing before the first.
     std::optional<HttpServerLimits> m_callerLimits;
+    /// Version of the newest usable document that was read in this era of the platform.
+    ConfigurationVersion m_documentVersion = 0;
     std::int64_t m_adoptedUnixMs = 0;
     ConfigurationVersion m_highestVersionSeen = 0;
     /// Where the configuration that is handled now comes from, for the log. The revision is 0 where a peer sent it.
--- a/Libraries/LibProxy/FleetTask.cpp
+++ b/Libraries/LibProxy/FleetTask.cpp
@@ -2,10 +2,10 @@
 
 namespace Fuchsiastep {
 
-FleetTask::FleetTask(const MembershipTable &table, const Clock &clock, PeerLinks &links)
+FleetTask::FleetTask(FleetExchangeSettings settings, const MembershipTable &table, const Clock &clock, PeerLinks &links)
     : m_table(table)
     , m_links(links)
-    , m_exchange({}, table, clock)
+    , m_exchange(settings, table, clock)
     , m_timer(clock,
           [this] {
               run(m_exchange.advance());
--- a/Libraries/LibProxy/FleetTask.h
+++ b/Libraries/LibProxy/FleetTask.h
@@ -16,7 +16,7 @@
 class FleetTask
 {
 public:
-    FleetTask(const MembershipTable &table, const Clock &clock, PeerLinks &links);
+    FleetTask(FleetExchangeSettings settings, const MembershipTable &table, const Clock &clock, PeerLinks &links);
 
     /// For the owner, before the first message.
     void addTopic(FleetTopicHandlers handlers);
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -10,6 +10,17 @@
 static constexpr Duration JoinTime = std::chrono::milliseconds(1500);
 static constexpr Duration IdleCheckInterval = std::chrono::seconds(30);
 
+static FleetExchangeSettings fleetSettings(const ProxySettings &settings)
+{
+    FleetExchangeSettings fleet;
+    if (settings.workspaces) {
+        fleet.reportPeriod = std::min(fleet.reportPeriod, settings.workspaces->quota.reportPeriod());
+        // A request may wait for the report.
+        fleet.shortestPeriod = std::chrono::milliseconds(10);
+    }
+    return fleet;
+}
+
 ProxyRuntime::ProxyRuntime(ProxySettings settings, EdgeProtocol protocol, std::function<void()> onStopped)
     : m_settings(std::move(settings))
     , m_protocol(std::move(protocol))
@@ -25,6 +36,7 @@
               }
           })
     , m_joinTimer(m_clock, [this] { endJoining(); })
+    , m_freshnessTimer(m_clock, [this] { checkFreshness(); })
     , m_idleTimer(m_clock, [this] {
         m_links->closeIdle();
         m_idleTimer.setDeadline(m_clock.now() + IdleCheckInterval);
@@ -109,10 +121,27 @@
     if (isError(peers)) {
         return errorOf(peers);
     }
-    m_requests = std::make_unique<RequestTask>(
-        m_settings, m_protocol, m_incarnation, m_clock, m_random, m_metrics, *m_links, *m_platform, [this](const RequestTaskEvent &event) {
-            handleRequests(event);
-        });
+    if (m_settings.workspaces) {
+        m_quotas = std::make_unique<WorkspaceQuotas>(
+            m_settings.workspaces->quota,
+            [this] { return m_membership->table().liveMembers(m_settings.dataCentre).size(); },
+            m_clock,
+            m_random);
+    }
+    if (m_settings.workspaces && m_settings.workspaces->isRevocationStrict) {
+        m_freshness = std::make_unique<FreshnessLease>(FreshnessSettings {m_settings.workspaces->revocationTime}, m_clock);
+    }
+    m_requests = std::make_unique<RequestTask>(m_settings,
+        m_protocol,
+        m_incarnation,
+        m_clock,
+        m_random,
+        m_metrics,
+        *m_links,
+        *m_platform,
+        m_quotas.get(),
+        m_freshness.get(),
+        [this](const RequestTaskEvent &event) { handleRequests(event); });
     const Result<Done> callers = m_requests->tryListen(m_settings.listen.callers);
     if (isError(callers)) {
         return errorOf(callers);
@@ -126,15 +155,42 @@
         *m_links,
         *m_platform,
         [this](const ConfigurationTaskEvent &event) { handleConfiguration(event); });
-    m_fleet = std::make_unique<FleetTask>(m_membership->table(), m_clock, *m_links);
+    m_fleet = std::make_unique<FleetTask>(fleetSettings(m_settings), m_membership->table(), m_clock, *m_links);
+    if (m_freshness) {
+        m_fleet->addTopic(m_freshness->topic());
+    }
+    if (m_quotas) {
+        m_fleet->addTopic(m_quotas->topic([this](std::vector<AllowanceDecision> decisions) {
+            if (!decisions.empty()) {
+                m_requests->post(QuotaDecided {std::move(decisions)});
+            }
+        }));
+    }
     m_membership->start();
     m_configuration->start();
     m_fleet->start();
+    checkFreshness();
     m_joinTimer.setDeadline(m_clock.now() + JoinTime);
     m_idleTimer.setDeadline(m_clock.now() + IdleCheckInterval);
     return ProxyAddresses {m_requests->address(), m_operators->address(), valueOf(peers)};
 }
 
+void ProxyRuntime::checkFreshness()
+{
+    if (!m_freshness) {
+        return;
+    }
+    // The platform is asked in person only where neither its readers nor the coordinators tell anything.
+    constexpr Duration LeastLeft = std::chrono::seconds(1);
+    constexpr Duration CheckPeriod = std::chrono::milliseconds(500);
+    constexpr int AskPeriods = 2;
+    if (m_freshness->left() < LeastLeft && ++m_freshnessChecks % AskPeriods == 0) {
+        m_configuration->post(ConfirmationWanted {});
+    }
+    m_metrics.setGauge("fuchsiastep_freshness_lease_seconds", std::chrono::duration<double>(m_freshness->left()).count());
+    m_freshnessTimer.setDeadline(m_clock.now() + CheckPeriod);
+}
+
 void ProxyRuntime::handlePlatform(const PlatformRestored &restored)
 {
     m_configuration->post(restored);
@@ -188,6 +244,7 @@
     std::visit(Overloaded {
                    [this](const RequestsDrained &) { leave(); },
                    [this](const CrashObserved &observed) { m_membership->post(observed); },
+                   [this](const QuotaTokensWanted &) { m_fleet->post(FleetReportWanted {}); },
                    [this](const SuspectsChanged &changed) {
                        for (const CrashSuspectEntry &entry : changed.entries) {
                            m_membership->post(CrashSuspectRecorded {entry});
@@ -216,6 +273,11 @@
 void ProxyRuntime::handleConfiguration(const ConfigurationTaskEvent &event)
 {
     std::visit(Overloaded {
+                   [this](const NewestVersionConfirmed &confirmed) {
+                       if (m_freshness) {
+                           m_freshness->note(confirmed.version, confirmed.knownAtMs);
+                       }
+                   },
                    [this](const ViewChanged &change) { m_requests->post(change); },
                    [this](const UpstreamGone &gone) { m_requests->post(gone); },
                    [this](const CallerLimitsChanged &change) { m_requests->post(change); },
--- a/Libraries/LibProxy/ProxyRuntime.h
+++ b/Libraries/LibProxy/ProxyRuntime.h
@@ -47,6 +47,8 @@
     void handleConfiguration(const ConfigurationTaskEvent &event);
     void handleOperators(OperatorTaskEvent event);
 
+    /// Asks the platform where the lease of freshness is about to end.
+    void checkFreshness();
     void endJoining();
     void tellReadiness();
     void announce(const UpstreamAnnouncement &announcement);
@@ -75,12 +77,18 @@
     std::unique_ptr<PlatformClient> m_platform;
     std::unique_ptr<PeerLinks> m_links;
     std::unique_ptr<MembershipTask> m_membership;
+    /// Nothing where revocation is not strict.
+    std::unique_ptr<FreshnessLease> m_freshness;
+    std::uint32_t m_freshnessChecks = 0;
+    /// Nothing where quotas are not kept.
+    std::unique_ptr<WorkspaceQuotas> m_quotas;
     std::unique_ptr<FleetTask> m_fleet;
     std::unique_ptr<ConfigurationTask> m_configuration;
     std::unique_ptr<RequestTask> m_requests;
     std::unique_ptr<OperatorTask> m_operators;
     Timer m_drainTimer;
     Timer m_joinTimer;
+    Timer m_freshnessTimer;
     Timer m_idleTimer;
 };
 
--- a/Libraries/LibProxy/ProxySettings.cpp
+++ b/Libraries/LibProxy/ProxySettings.cpp
@@ -33,6 +33,8 @@
         parseEdge(reader, settings.edge);
         parseUpstream(reader, settings.upstream);
         parseRetries(reader, settings.retries);
+        settings.dataCentres = reader.optionalStrings("data_centres");
+        parseWorkspaces(reader, settings);
         parseSeeds(reader, settings.listen.peers.port, settings.seeds);
         parseDistribution(reader, settings.distribution);
         parseMembership(reader, settings.membership);
@@ -148,6 +150,27 @@
         reader.finish();
     }
 
+    void parseWorkspaces(JsonObjectReader &parent, ProxySettings &settings)
+    {
+        constexpr double MaximumOverage = 10;
+        constexpr std::int64_t MaximumSlack = 1'000'000;
+        const JsonValue *value = parent.optionalValue("workspaces");
+        if (value == nullptr) {
+            return;
+        }
+        JsonObjectReader reader(*value, parent.pathOf("workspaces"), m_errors);
+        WorkspaceSettings workspaces;
+        workspaces.isRevocationStrict = reader.optionalBool("strict_revocation", workspaces.isRevocationStrict);
+        workspaces.revocationTime = milliseconds(reader, "revocation_ms", workspaces.revocationTime, 1000);
+        workspaces.quota.window = milliseconds(reader, "quota_window_ms", workspaces.quota.window, 100);
+        workspaces.quota.overage = reader.optionalNumber("quota_overage", workspaces.quota.overage, 0, MaximumOverage);
+        workspaces.quota.slack = static_cast<std::uint64_t>(
+            reader.optionalInteger("quota_slack", static_cast<std::int64_t>(workspaces.quota.slack), 0, MaximumSlack));
+        workspaces.quota.dataCentres = std::max<std::size_t>(1, settings.dataCentres.size());
+        reader.finish();
+        settings.workspaces = workspaces;
+    }
+
     void parsePlatform(JsonObjectReader &parent, PlatformSettings &platform)
     {
         const JsonValue *value = parent.requiredValue("platform");
--- a/Libraries/LibProxy/ProxySettings.h
+++ b/Libraries/LibProxy/ProxySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/LibCore.h>
+#include <LibFleet/AllowanceSettings.h>
 #include <LibRouting/RetryBudgets.h>
 #include <LibWire/FrameCodec.h>
 
@@ -111,6 +112,15 @@
     }
 };
 
+/// What holds for workspaces, their keys and their quotas.
+struct WorkspaceSettings
+{
+    /// A request that is sent later than revocationTime after a version took its key away never runs.
+    bool isRevocationStrict = false;
+    Duration revocationTime = std::chrono::seconds(5);
+    AllowanceSettings quota;
+};
+
 /// The settings file of fuchsiastepd.
 struct ProxySettings
 {
@@ -125,6 +135,10 @@
     UpstreamSettings upstream;
     /// Nothing for a budget of each proxy by itself.
     std::optional<RetryBudgets::FleetBudget> retries;
+    /// Nothing where keys and quotas of workspaces are not kept.
+    std::optional<WorkspaceSettings> workspaces;
+    /// Every data centre of the deployment; empty where they are not told.
+    std::vector<std::string> dataCentres;
     /// Peers to ask when the platform cannot name contacts.
     std::vector<SocketAddress> seeds;
     DistributionSettings distribution;
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -16,6 +16,10 @@
     /// Empty for a service that is not declared, so that callers cannot add metric series at will.
     std::string service;
     std::string traceId;
+    /// Empty for none.
+    std::string workspace;
+    /// Set where the call took a token of its workspace.
+    std::optional<AllowanceAdmitted> admitted;
 };
 
 RequestTask::RequestTask(const ProxySettings &settings,
@@ -26,6 +30,8 @@
     MetricsRegistry &metrics,
     PeerLinks &links,
     PlatformClient &platform,
+    WorkspaceQuotas *quotas,
+    FreshnessLease *freshness,
     EventHandler onEvent)
     : m_settings(settings)
     , m_protocol(protocol)
@@ -33,6 +39,8 @@
     , m_metrics(metrics)
     , m_links(links)
     , m_platform(platform)
+    , m_quotas(quotas)
+    , m_freshness(freshness)
     , m_onEvent(std::move(onEvent))
     , m_routing(routingSettings(settings), clock, random)
     , m_selector(selectorSettings(settings), m_routing, random)
@@ -75,6 +83,12 @@
 void RequestTask::handle(const ViewChanged &change)
 {
     m_view = change.view;
+    if (m_quotas != nullptr) {
+        m_quotas->setConfiguration(m_view->configuration());
+    }
+    if (m_freshness != nullptr) {
+        m_freshness->hold(m_view->configuration()->version());
+    }
 }
 
 void RequestTask::handle(const UpstreamGone &gone)
@@ -229,6 +243,9 @@
                    [this](const HttpRequestAbandoned &abandoned) {
                        if (m_calls.erase(abandoned.token) > 0) {
                            m_metrics.count("fuchsiastep_calls_abandoned_total");
+                           if (m_awaitingQuota.erase(abandoned.token) > 0) {
+                               m_quotas->budget().cancel(abandoned.token);
+                           }
                            run(m_coordinator.handle(CallerGone {abandoned.token}));
                        }
                    },
@@ -268,6 +285,12 @@
     }
     const Result<std::shared_ptr<const Workspace>> workspace =
         tryAuthenticateCall(call, *m_view->configuration(), valueOf(route)->selector->rules, m_protocol.workspaceHeaders);
+    const bool hasKey = isError(workspace) ? errorOf(workspace).code == ErrorCode::WorkspaceKeyUnknown : valueOf(workspace) != nullptr;
+    if (hasKey && m_freshness != nullptr && !m_freshness->isValid()) {
+        constexpr Duration RetryAfter = std::chrono::milliseconds(500);
+        refuseCall(token, {ErrorCode::KeyUnconfirmed, {}}, RetryAfter + m_selector.jitter(RetryAfter));
+        return;
+    }
     if (isError(workspace)) {
         refuseCall(token, errorOf(workspace));
         return;
@@ -287,7 +310,57 @@
     accepted.body = std::move(call.body);
     accepted.route = valueOf(route);
     accepted.workspace = valueOf(workspace);
-    run(m_coordinator.handle(std::move(accepted)));
+    accepted.authorizedUntilMs = hasKey && m_freshness != nullptr ? m_freshness->startsBeforeMs() : 0;
+    m_calls[token].workspace = accepted.workspace != nullptr ? accepted.workspace->name : std::string();
+    admit(std::move(accepted));
+}
+
+void RequestTask::admit(CallerRequest request)
+{
+    const std::optional<AllowanceLimit> quota =
+        m_quotas != nullptr && request.workspace != nullptr ? quotaOf(*request.workspace) : std::nullopt;
+    if (!quota) {
+        run(m_coordinator.handle(std::move(request)));
+        return;
+    }
+    const std::uint64_t token = request.token;
+    const AllowanceVerdict verdict = m_quotas->budget().take(token, request.workspace->name, *quota);
+    m_awaitingQuota.emplace(token, std::move(request));
+    decide(token, verdict);
+    if (m_quotas->budget().isReportWanted()) {
+        m_onEvent(QuotaTokensWanted {});
+    }
+}
+
+void RequestTask::decide(std::uint64_t token, const AllowanceVerdict &verdict)
+{
+    const auto found = m_awaitingQuota.find(token);
+    if (found == m_awaitingQuota.end() || std::holds_alternative<AllowanceWaiting>(verdict)) {
+        return;
+    }
+    CallerRequest request = std::move(found->second);
+    m_awaitingQuota.erase(found);
+    std::visit(Overloaded {
+                   [&](const AllowanceAdmitted &admitted) {
+                       m_calls[token].admitted = admitted;
+                       run(m_coordinator.handle(std::move(request)));
+                   },
+                   [&](const AllowanceExhausted &exhausted) {
+                       refuseCall(token, {ErrorCode::QuotaExceeded, request.workspace->name}, exhausted.retryAfter);
+                   },
+                   [&](const AllowanceUnavailable &unavailable) {
+                       refuseCall(token, {ErrorCode::QuotaUnavailable, request.workspace->name}, unavailable.retryAfter);
+                   },
+                   [](const AllowanceWaiting &) {},
+               },
+        verdict);
+}
+
+void RequestTask::handle(const QuotaDecided &decided)
+{
+    for (const AllowanceDecision &decision : decided.decisions) {
+        decide(decision.requestId, decision.verdict);
+    }
 }
 
 Result<std::shared_ptr<const Route>> RequestTask::tryResolve(const Call &call)
@@ -308,13 +381,14 @@
     return route;
 }
 
-void RequestTask::refuseCall(std::uint64_t token, const Error &error)
+void RequestTask::refuseCall(std::uint64_t token, const Error &error, std::optional<Duration> retryAfter)
 {
     CallerAnswer answer;
     answer.token = token;
     answer.outcome = RequestOutcome::NotRun;
     answer.code = error.code;
     answer.detail = error.detail;
+    answer.retryAfter = retryAfter;
     finishCall(std::move(answer));
 }
 
@@ -326,6 +400,9 @@
     }
     const std::string labels = "service=\"" + call->second.service + "\",outcome=\"" + std::string(nameOf(answer.outcome)) + '"';
     m_metrics.count("fuchsiastep_requests_total", labels);
+    if (answer.outcome == RequestOutcome::NotRun && call->second.admitted && m_quotas != nullptr) {
+        m_quotas->budget().giveBack(call->second.workspace, *call->second.admitted);
+    }
     m_metrics.observe("fuchsiastep_request_seconds", m_clock.now() - call->second.startedAt);
     if (answer.outcome == RequestOutcome::Unknown) {
         logEvent(LogEvent::RequestUnknown,
@@ -549,6 +626,9 @@
     run(m_coordinator.advance());
     run(m_gate.advance());
     run(m_ledger.advance());
+    if (m_quotas != nullptr) {
+        handle(QuotaDecided {m_quotas->budget().advance()});
+    }
     finishTurn();
 }
 
@@ -573,7 +653,9 @@
     // Answers that cannot leave fill the memory; the upstream then has to wait as well.
     m_upstreamClient.setReading(m_transfers.bytesWaiting() <= m_settings.limits.bufferBytes);
     updateGauges();
-    std::optional<TimePoint> next = earliestDeadline({m_coordinator.nextDeadline(), m_gate.nextDeadline(), m_ledger.nextDeadline()});
+    const std::optional<TimePoint> nextQuota = m_quotas != nullptr ? m_quotas->budget().nextDeadline() : std::nullopt;
+    std::optional<TimePoint> next =
+        earliestDeadline({m_coordinator.nextDeadline(), m_gate.nextDeadline(), m_ledger.nextDeadline(), nextQuota});
     if (m_drain.isDraining() && !m_isDrainReported) {
         const bool isIdle = m_isGateDrained && m_ledger.isIdle() && m_coordinator.inFlight() == 0 && m_callers.requestsOpen() == 0
             && !m_links.hasQueuedBytes() && m_transfers.isIdle() && !m_drain.isLingering();
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -14,6 +14,7 @@
 #include <LibProxy/Timer.h>
 #include <LibProxy/UpstreamAnnouncement.h>
 #include <LibProxy/UpstreamClient.h>
+#include <LibProxy/WorkspaceQuotas.h>
 #include <LibRequest/LibRequest.h>
 
 #include <functional>
@@ -66,6 +67,12 @@
     HttpServerLimits limits;
 };
 
+/// What became of requests that waited for room in the quota of their workspace.
+struct QuotaDecided
+{
+    std::vector<AllowanceDecision> decisions;
+};
+
 /// Number of live proxies, this one included.
 struct ProxyCountChanged
 {
@@ -80,6 +87,7 @@
 
 using RequestTaskMessage = std::variant<CallerLimitsChanged,
     RetriesChanged,
+    QuotaDecided,
     ProxyCountChanged,
     ViewChanged,
     UpstreamGone,
@@ -105,7 +113,11 @@
     std::vector<CrashSuspectEntry> entries;
 };
 
-using RequestTaskEvent = std::variant<RequestsDrained, SuspectsChanged, CrashObserved>;
+/// Requests wait for tokens that the coordinator of the data centre has to grant.
+struct QuotaTokensWanted
+{ };
+
+using RequestTaskEvent = std::variant<RequestsDrained, SuspectsChanged, CrashObserved, QuotaTokensWanted>;
 
 /// Carries requests: it owns the callers' HTTP server, the client of the upstream beside the proxy, and the decision
 /// objects of both sides. Requests between proxies go through PeerLinks.
@@ -122,6 +134,8 @@
         MetricsRegistry &metrics,
         PeerLinks &links,
         PlatformClient &platform,
+        WorkspaceQuotas *quotas,
+        FreshnessLease *freshness,
         EventHandler onEvent);
     ~RequestTask();
 
@@ -150,13 +164,17 @@
     void handle(const CallerLimitsChanged &change);
     void handle(const ProxyCountChanged &change);
     void handle(const RetriesChanged &change);
+    void handle(const QuotaDecided &decided);
 
     void handleCallers(HttpServerEvent event);
     void startCall(HttpRequest request);
+    /// Runs the request once its workspace has room for it.
+    void admit(CallerRequest request);
+    void decide(std::uint64_t token, const AllowanceVerdict &verdict);
     Result<std::shared_ptr<const Route>> tryResolve(const Call &call);
     bool mayTake(const Call &call, const RouteRules &rules) const;
     void receiveRequest(const PeerFrameReceived &received, const RequestFrame &frame);
-    void refuseCall(std::uint64_t token, const Error &error);
+    void refuseCall(std::uint64_t token, const Error &error, std::optional<Duration> retryAfter = {});
     void finishCall(CallerAnswer answer);
     void handleUpstream(UpstreamClientEvent event);
     void confirmCrash();
@@ -176,6 +194,10 @@
     MetricsRegistry &m_metrics;
     PeerLinks &m_links;
     PlatformClient &m_platform;
+    /// nullptr where quotas are not kept.
+    WorkspaceQuotas *m_quotas;
+    /// nullptr where revocation is not strict.
+    FreshnessLease *m_freshness;
     EventHandler m_onEvent;
 
     View::Pointer m_view = View::empty();
@@ -200,6 +222,8 @@
     UpstreamClient m_upstreamClient;
     HttpServer m_callers;
     std::unordered_map<std::uint64_t, CallInProgress> m_calls;
+    /// Requests that wait for a token of their quota.
+    std::unordered_map<std::uint64_t, CallerRequest> m_awaitingQuota;
     Timer m_timer;
     Mailbox<RequestTaskMessage> m_mailbox;
 };
--- a/Libraries/LibRequest/CoordinatorInput.h
+++ b/Libraries/LibRequest/CoordinatorInput.h
@@ -37,6 +37,9 @@
     std::string traceId;
     /// nullptr for none.
     std::shared_ptr<const Workspace> workspace;
+    /// The key of the workspace is certain to be valid for requests that start before this, in milliseconds of the clock that
+    /// counts suspensions; 0 where that does not end.
+    std::uint64_t authorizedUntilMs = 0;
 };
 
 /// The caller disconnected. It gets no answer.
--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -421,6 +421,11 @@
     frame.body = request.body;
     frame.traceId = request.traceId;
     frame.workspace = request.workspace != nullptr ? request.workspace->name : std::string();
+    if (request.authorizedUntilMs > 0) {
+        const std::uint64_t now = m_clock.uninterruptedMilliseconds();
+        // What has ended already is refused beside the upstream.
+        frame.authorizedForMs = static_cast<std::uint32_t>(std::max(request.authorizedUntilMs, now + 1) - now);
+    }
     frame.sentAtMs = m_clock.uninterruptedMilliseconds();
     frame.selector = request.route->selector->name;
     if (pending.targetAt) {
--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -117,6 +117,9 @@
     entry.arrivedAt = m_clock.now();
     const TimePoint sentAt = m_clock.now() - request.transitDelay;
     entry.deadline = sentAt + std::chrono::milliseconds(request.frame.timeLeftMs);
+    if (request.frame.authorizedForMs > 0) {
+        entry.authorizedUntil = sentAt + std::chrono::milliseconds(request.frame.authorizedForMs);
+    }
     const bool hasTarget = request.frame.targetLeftMs > 0;
     entry.dueAt = hasTarget ? std::min(entry.deadline, sentAt + std::chrono::milliseconds(request.frame.targetLeftMs)) : entry.deadline;
     entry.service = m_serviceTimes.meanOf(request.frame.selector);
@@ -481,6 +484,10 @@
         dropNotRun(localId, ErrorCode::DeadlineExceeded, "waited for a slot");
         return;
     }
+    if (entry.authorizedUntil && m_clock.now() >= *entry.authorizedUntil) {
+        dropNotRun(localId, ErrorCode::KeyUnconfirmed, "waited for a slot");
+        return;
+    }
     if (entry.isIsolated) {
         m_isolatedRun = localId;
         m_hasRunIsolated = true;
--- a/Libraries/LibRequest/UpstreamGate.h
+++ b/Libraries/LibRequest/UpstreamGate.h
@@ -72,6 +72,8 @@
         TimePoint arrivedAt;
         TimePoint startedAt;
         TimePoint deadline;
+        /// The key of the caller is not certain to be valid afterwards.
+        std::optional<TimePoint> authorizedUntil;
         /// When the answer loses use for the caller; the deadline where the request names no target.
         TimePoint dueAt;
         /// Expected time on the upstream, as it was when the request was queued.
