Carry out roll-outs ordered by operators

The coordinators decide from the runs that members count; each proxy splits its requests exactly between the versions and sends nothing to an unproven version without news. Takes effect only with the settings block rollouts.

--- a/Libraries/LibCore/LogEvent.cpp
+++ b/Libraries/LibCore/LogEvent.cpp
@@ -117,6 +117,11 @@
         "CallerDoesNotRead",
         LogLevel::Warning,
         "Callers leave more answers unread than this proxy can hold; the connection with the most was closed."},
+    LogEventInfo {LogEvent::RolloutPhaseChanged, "RolloutPhaseChanged", LogLevel::Info, "A roll-out entered another phase."},
+    LogEventInfo {LogEvent::RolloutOrderRejected,
+        "RolloutOrderRejected",
+        LogLevel::Warning,
+        "The order of a roll-out cannot be read and is ignored."},
     LogEventInfo {LogEvent::OperatorRequestRejected, "OperatorRequestRejected", LogLevel::Info, "An operator request is not valid."},
 };
 
--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -76,6 +76,8 @@
     SuspectChanged = 6018,
     UpstreamAnswerTooLarge = 6019,
     CallerDoesNotRead = 6020,
+    RolloutPhaseChanged = 6420,
+    RolloutOrderRejected = 6421,
 
     OperatorRequestRejected = 7000,
 };
--- a/Libraries/LibProxy/EdgeProtocol.h
+++ b/Libraries/LibProxy/EdgeProtocol.h
@@ -6,6 +6,7 @@
 #include <LibProxy/CallParser.h>
 #include <LibProxy/ConfigurationDocument.h>
 #include <LibProxy/UpstreamAnnouncement.h>
+#include <LibRollout/RolloutProtocol.h>
 #include <LibWire/RequestFrame.h>
 
 #include <functional>
@@ -68,6 +69,7 @@
     std::function<Result<ConfigurationDocument>(std::string_view content)> tryReadDocument;
     /// Key of the row with the document; empty where there is none.
     std::string documentKey;
+    RolloutProtocol rollouts;
     PlatformProtocol platform {encodePlatformRequest, tryDecodePlatformResponse, PlatformMediaType, PlatformEraHeader};
 };
 
--- a/Libraries/LibProxy/FleetTask.h
+++ b/Libraries/LibProxy/FleetTask.h
@@ -23,6 +23,11 @@
     /// Starts to report.
     void start();
 
+    bool isCoordinator() const
+    {
+        return m_exchange.isCoordinator();
+    }
+
     void post(FleetTaskMessage message);
 
 private:
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -131,6 +131,10 @@
     if (m_settings.workspaces && m_settings.workspaces->isRevocationStrict) {
         m_freshness = std::make_unique<FreshnessLease>(FreshnessSettings {m_settings.workspaces->revocationTime}, m_clock);
     }
+    if (m_settings.rollouts && !m_protocol.rollouts.orderPrefix.empty()) {
+        m_rollouts = std::make_unique<RolloutTask>(
+            *m_settings.rollouts, m_protocol.rollouts, m_membership->table(), m_clock, m_metrics, *m_platform);
+    }
     m_requests = std::make_unique<RequestTask>(m_settings,
         m_protocol,
         m_incarnation,
@@ -141,6 +145,7 @@
         *m_platform,
         m_quotas.get(),
         m_freshness.get(),
+        m_rollouts.get(),
         [this](const RequestTaskEvent &event) { handleRequests(event); });
     const Result<Done> callers = m_requests->tryListen(m_settings.listen.callers);
     if (isError(callers)) {
@@ -156,6 +161,10 @@
         *m_platform,
         [this](const ConfigurationTaskEvent &event) { handleConfiguration(event); });
     m_fleet = std::make_unique<FleetTask>(fleetSettings(m_settings), m_membership->table(), m_clock, *m_links);
+    if (m_rollouts) {
+        m_rollouts->setCoordinator([this] { return m_fleet->isCoordinator(); });
+        m_fleet->addTopic(m_rollouts->topic());
+    }
     if (m_freshness) {
         m_fleet->addTopic(m_freshness->topic());
     }
@@ -169,6 +178,9 @@
     m_membership->start();
     m_configuration->start();
     m_fleet->start();
+    if (m_rollouts) {
+        m_rollouts->start();
+    }
     checkFreshness();
     m_joinTimer.setDeadline(m_clock.now() + JoinTime);
     m_idleTimer.setDeadline(m_clock.now() + IdleCheckInterval);
--- a/Libraries/LibProxy/ProxyRuntime.h
+++ b/Libraries/LibProxy/ProxyRuntime.h
@@ -7,6 +7,7 @@
 #include <LibProxy/PeerLinks.h>
 #include <LibProxy/ProxySettings.h>
 #include <LibProxy/RequestTask.h>
+#include <LibProxy/RolloutTask.h>
 
 #include <functional>
 #include <memory>
@@ -77,6 +78,8 @@
     std::unique_ptr<PlatformClient> m_platform;
     std::unique_ptr<PeerLinks> m_links;
     std::unique_ptr<MembershipTask> m_membership;
+    /// Nothing where roll-outs are not carried out.
+    std::unique_ptr<RolloutTask> m_rollouts;
     /// Nothing where revocation is not strict.
     std::unique_ptr<FreshnessLease> m_freshness;
     std::uint32_t m_freshnessChecks = 0;
--- a/Libraries/LibProxy/ProxySettings.cpp
+++ b/Libraries/LibProxy/ProxySettings.cpp
@@ -35,6 +35,7 @@
         parseRetries(reader, settings.retries);
         settings.dataCentres = reader.optionalStrings("data_centres");
         parseWorkspaces(reader, settings);
+        parseRollouts(reader, settings.rollouts);
         parseSeeds(reader, settings.listen.peers.port, settings.seeds);
         parseDistribution(reader, settings.distribution);
         parseMembership(reader, settings.membership);
@@ -171,6 +172,22 @@
         settings.workspaces = workspaces;
     }
 
+    void parseRollouts(JsonObjectReader &parent, std::optional<RolloutSettings> &rollouts)
+    {
+        constexpr std::int64_t MaximumSlack = 1'000'000;
+        const JsonValue *value = parent.optionalValue("rollouts");
+        if (value == nullptr) {
+            return;
+        }
+        JsonObjectReader reader(*value, parent.pathOf("rollouts"), m_errors);
+        rollouts = RolloutSettings {};
+        rollouts->exposureShare = reader.optionalNumber("exposure_share", rollouts->exposureShare, 0, 1);
+        rollouts->exposureSlack = static_cast<std::uint64_t>(
+            reader.optionalInteger("exposure_slack", static_cast<std::int64_t>(rollouts->exposureSlack), 0, MaximumSlack));
+        rollouts->rollbackTime = milliseconds(reader, "rollback_ms", rollouts->rollbackTime, 100);
+        reader.finish();
+    }
+
     void parsePlatform(JsonObjectReader &parent, PlatformSettings &platform)
     {
         const JsonValue *value = parent.requiredValue("platform");
--- a/Libraries/LibProxy/ProxySettings.h
+++ b/Libraries/LibProxy/ProxySettings.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/LibCore.h>
 #include <LibFleet/AllowanceSettings.h>
+#include <LibRollout/RolloutController.h>
 #include <LibRouting/RetryBudgets.h>
 #include <LibWire/FrameCodec.h>
 
@@ -137,6 +138,8 @@
     std::optional<RetryBudgets::FleetBudget> retries;
     /// Nothing where keys and quotas of workspaces are not kept.
     std::optional<WorkspaceSettings> workspaces;
+    /// Nothing where roll-outs are not carried out.
+    std::optional<RolloutSettings> rollouts;
     /// Every data centre of the deployment; empty where they are not told.
     std::vector<std::string> dataCentres;
     /// Peers to ask when the platform cannot name contacts.
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -32,6 +32,7 @@
     PlatformClient &platform,
     WorkspaceQuotas *quotas,
     FreshnessLease *freshness,
+    RolloutTask *rollouts,
     EventHandler onEvent)
     : m_settings(settings)
     , m_protocol(protocol)
@@ -41,6 +42,7 @@
     , m_platform(platform)
     , m_quotas(quotas)
     , m_freshness(freshness)
+    , m_rollouts(rollouts)
     , m_onEvent(std::move(onEvent))
     , m_routing(routingSettings(settings), clock, random)
     , m_selector(selectorSettings(settings), m_routing, random)
@@ -148,6 +150,12 @@
         run(m_gate.handle(UpstreamCrashed {}));
         m_upstreamClient.closeIdleConnections();
     }
+    const bool isAnotherStart = !m_upstream || announcement.upstreamId != m_upstream->upstreamId || announcement.isRestartOf(*m_upstream);
+    if (m_rollouts != nullptr && isAnotherStart) {
+        const auto version = announcement.labels.find(VersionLabel);
+        m_rollouts->recorder().setUpstream(
+            announcement.service, version == announcement.labels.end() ? std::string() : version->second, announcement.coldFor());
+    }
     m_upstream = announcement;
     m_upstreamClient.setUpstream(announcement.address, announcement.connections);
     if (announcement.isDraining) {
@@ -308,7 +316,7 @@
     accepted.key = std::move(call.key);
     accepted.timeLeft = call.timeLeft;
     accepted.body = std::move(call.body);
-    accepted.route = valueOf(route);
+    accepted.route = m_rollouts != nullptr ? m_rollouts->split().select(valueOf(route)) : valueOf(route);
     accepted.workspace = valueOf(workspace);
     accepted.authorizedUntilMs = hasKey && m_freshness != nullptr ? m_freshness->startsBeforeMs() : 0;
     m_calls[token].workspace = accepted.workspace != nullptr ? accepted.workspace->name : std::string();
@@ -439,35 +447,44 @@
 
 void RequestTask::handleUpstream(UpstreamClientEvent event)
 {
-    std::visit(Overloaded {
-                   [this](UpstreamAnswered &answered) {
-                       m_metrics.observe("fuchsiastep_upstream_seconds", answered.elapsed);
-                       logEvent(LogEvent::RunEnded,
-                           {{"run", answered.localId}, {"status", answered.status}, {"elapsed_us", answered.elapsed.count()}});
-                       run(m_gate.handle(UpstreamAnswer {
-                           answered.localId, answered.status, std::move(answered.headers), std::move(answered.body), answered.wasRefused}));
-                   },
-                   [this](const UpstreamRequestFailed &failed) {
-                       m_metrics.count("fuchsiastep_upstream_failures_total");
-                       logEvent(LogEvent::RunEnded, {{"run", failed.localId}, {"error", describe(failed.error)}});
-                       if (failed.error.code == ErrorCode::AnswerTooLarge) {
-                           m_metrics.count("fuchsiastep_upstream_answers_too_large_total");
-                           logEvent(LogEvent::UpstreamAnswerTooLarge,
-                               {{"upstream", m_upstream ? m_upstream->upstreamId : std::string()},
-                                   {"run", failed.localId},
-                                   {"error", describe(failed.error)}});
-                       }
-                       const UpstreamFailed failure {failed.localId, failed.mayHaveRun, failed.error.code};
-                       if (failed.isConnectionBroken && failed.mayHaveRun) {
-                           m_unconfirmedFailures.push_back(failure);
-                       } else {
-                           run(m_gate.handle(failure));
-                       }
-                       if (failed.isConnectionBroken) {
-                           confirmCrash();
-                       }
-                   },
-               },
+    std::visit(
+        Overloaded {
+            [this](UpstreamAnswered &answered) {
+                m_metrics.observe("fuchsiastep_upstream_seconds", answered.elapsed);
+                if (m_rollouts != nullptr && answered.wasRefused) {
+                    m_rollouts->recorder().endWithout(answered.localId, false);
+                } else if (m_rollouts != nullptr) {
+                    m_rollouts->recorder().end(answered.localId, answered.status, answered.elapsed);
+                }
+                logEvent(
+                    LogEvent::RunEnded, {{"run", answered.localId}, {"status", answered.status}, {"elapsed_us", answered.elapsed.count()}});
+                run(m_gate.handle(UpstreamAnswer {
+                    answered.localId, answered.status, std::move(answered.headers), std::move(answered.body), answered.wasRefused}));
+            },
+            [this](const UpstreamRequestFailed &failed) {
+                m_metrics.count("fuchsiastep_upstream_failures_total");
+                if (m_rollouts != nullptr) {
+                    m_rollouts->recorder().endWithout(failed.localId, failed.mayHaveRun && failed.error.code != ErrorCode::Cancelled);
+                }
+                logEvent(LogEvent::RunEnded, {{"run", failed.localId}, {"error", describe(failed.error)}});
+                if (failed.error.code == ErrorCode::AnswerTooLarge) {
+                    m_metrics.count("fuchsiastep_upstream_answers_too_large_total");
+                    logEvent(LogEvent::UpstreamAnswerTooLarge,
+                        {{"upstream", m_upstream ? m_upstream->upstreamId : std::string()},
+                            {"run", failed.localId},
+                            {"error", describe(failed.error)}});
+                }
+                const UpstreamFailed failure {failed.localId, failed.mayHaveRun, failed.error.code};
+                if (failed.isConnectionBroken && failed.mayHaveRun) {
+                    m_unconfirmedFailures.push_back(failure);
+                } else {
+                    run(m_gate.handle(failure));
+                }
+                if (failed.isConnectionBroken) {
+                    confirmCrash();
+                }
+            },
+        },
         event);
     finishTurn();
 }
@@ -550,6 +567,9 @@
                                    {"time_left_ms", start.frame.timeLeftMs},
                                    {"running", m_gate.running()},
                                    {"queued", m_gate.waiting()}});
+                           if (m_rollouts != nullptr) {
+                               m_rollouts->recorder().start(start.localId, start.frame.selector);
+                           }
                            m_upstreamClient.start(start.localId, start.frame, std::chrono::milliseconds(start.frame.timeLeftMs));
                        },
                        [this](const AbortUpstreamRequest &abort) { m_upstreamClient.abort(abort.localId); },
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -10,6 +10,7 @@
 #include <LibProxy/Mailbox.h>
 #include <LibProxy/PeerLinks.h>
 #include <LibProxy/ProxySettings.h>
+#include <LibProxy/RolloutTask.h>
 #include <LibProxy/StatusWanted.h>
 #include <LibProxy/Timer.h>
 #include <LibProxy/UpstreamAnnouncement.h>
@@ -136,6 +137,7 @@
         PlatformClient &platform,
         WorkspaceQuotas *quotas,
         FreshnessLease *freshness,
+        RolloutTask *rollouts,
         EventHandler onEvent);
     ~RequestTask();
 
@@ -198,6 +200,8 @@
     WorkspaceQuotas *m_quotas;
     /// nullptr where revocation is not strict.
     FreshnessLease *m_freshness;
+    /// nullptr where roll-outs are not carried out.
+    RolloutTask *m_rollouts;
     EventHandler m_onEvent;
 
     View::Pointer m_view = View::empty();
--- a/Libraries/LibProxy/UpstreamAnnouncement.cpp
+++ b/Libraries/LibProxy/UpstreamAnnouncement.cpp
@@ -1,5 +1,6 @@
 #include <LibProxy/UpstreamAnnouncement.h>
 
+#include <algorithm>
 #include <limits>
 
 namespace Fuchsiastep {
@@ -15,6 +16,12 @@
     return ageMs < earlier.ageMs;
 }
 
+Duration UpstreamAnnouncement::coldFor() const
+{
+    constexpr Duration WarmAge = std::chrono::seconds(10);
+    return std::max(Duration(0), WarmAge - std::chrono::milliseconds(ageMs));
+}
+
 Result<UpstreamAnnouncement> UpstreamAnnouncement::tryParse(std::string_view text)
 {
     constexpr std::int64_t MaximumSlots = 10'000;
--- a/Libraries/LibProxy/UpstreamAnnouncement.h
+++ b/Libraries/LibProxy/UpstreamAnnouncement.h
@@ -38,6 +38,8 @@
     /// Nothing for an upstream whose announcements cannot arrive out of order.
     std::optional<UpstreamLifetime> lifetime;
 
+    /// How much longer the upstream is slow because it has just started.
+    Duration coldFor() const;
     /// Whether the same upstream has started anew since \a earlier.
     bool isRestartOf(const UpstreamAnnouncement &earlier) const;
 
