Refuse answers with a status that HTTP does not have

Seen: an upstream that answers 600 or 999, and the caller gets that as the answer to its request (000 to 099 ended as 502 already). One check judges it for both protocols and between proxies: the request ends as unknown, or is tried elsewhere where it may be repeated. testStatusesThatAreNone fails without the check.

--- a/Libraries/LibFleet/AllowanceCoordinator.cpp
+++ b/Libraries/LibFleet/AllowanceCoordinator.cpp
@@ -172,10 +172,11 @@
         return;
     }
     m_nextCleanup = now + CleanupPeriod;
-    std::erase_if(m_buckets, [now](auto &entry) {
-        std::erase_if(entry.second.members, [now](const auto &member) { return now - member.second.reportedAt > ReportMemory; });
-        return entry.second.members.empty() && now - entry.second.refilledAt > BucketMemory;
-    });
+    for (auto &[workspace, bucket] : m_buckets) {
+        std::erase_if(bucket.members, [now](const auto &member) { return now - member.second.reportedAt > ReportMemory; });
+    }
+    std::erase_if(
+        m_buckets, [now](const auto &entry) { return entry.second.members.empty() && now - entry.second.refilledAt > BucketMemory; });
 }
 
 } // namespace Fuchsiastep
--- a/Libraries/LibHttp/HttpParser.cpp
+++ b/Libraries/LibHttp/HttpParser.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/HttpParser.h>
 
 #include <LibHttp/HttpFields.h>
+#include <LibWire/HttpStatus.h>
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -90,8 +91,6 @@
     return {isTooLarge ? ErrorCode::AnswerTooLarge : ErrorCode::AnswerTruncated, error.message()};
 }
 
-constexpr std::uint16_t FirstFinalStatus = 200;
-
 } // namespace
 
 struct HttpParser::State
@@ -220,7 +219,10 @@
             return std::optional<HttpMessage>();
         }
         std::optional<HttpMessage> message = takeMessage(current);
-        const bool isInterim = kind == Kind::Response && message->status < FirstFinalStatus;
+        if (kind == Kind::Response && !isFinalStatus(message->status) && !isInterimStatus(message->status)) {
+            return Error {ErrorCode::AnswerTruncated, "status " + std::to_string(message->status) + " is none of HTTP"};
+        }
+        const bool isInterim = kind == Kind::Response && isInterimStatus(message->status);
         interimBytes = isInterim ? interimBytes + messageBytes : 0;
         restart();
         return message;
@@ -246,7 +248,7 @@
     }
     while (true) {
         Result<std::optional<HttpMessage>> next = m_state->advance(std::get<ResponseParser>(m_state->parser));
-        const bool isInterim = !isError(next) && valueOf(next) && valueOf(next)->status < FirstFinalStatus;
+        const bool isInterim = !isError(next) && valueOf(next) && isInterimStatus(valueOf(next)->status);
         if (!isInterim) {
             return next;
         }
@@ -274,6 +276,9 @@
         return Error {ErrorCode::AnswerTruncated, "the connection ended inside an answer"};
     }
     std::optional<HttpMessage> message = m_state->takeMessage(*response);
+    if (!isFinalStatus(message->status)) {
+        return Error {ErrorCode::AnswerTruncated, "the connection ended before a final status"};
+    }
     message->isLast = true;
     m_state->restart();
     return message;
--- a/Libraries/LibProxy/RolloutTask.h
+++ b/Libraries/LibProxy/RolloutTask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/LibCore.h>
 #include <LibFleet/LibFleet.h>
 #include <LibMembership/MembershipTable.h>
 #include <LibPlatform/LibPlatform.h>
--- a/Libraries/LibRequest/AnswerAssembly.cpp
+++ b/Libraries/LibRequest/AnswerAssembly.cpp
@@ -1,5 +1,7 @@
 #include <LibRequest/AnswerAssembly.h>
 
+#include <LibWire/HttpStatus.h>
+
 #include <utility>
 
 namespace Fuchsiastep {
@@ -12,7 +14,8 @@
     }
     std::string body = std::exchange(frame.body, {});
     m_header = std::move(frame);
-    if (m_header->bodyLength > m_maximumBytes) {
+    const bool isNoAnswer = m_header->outcome == RequestOutcome::Answered && !isFinalStatus(m_header->status);
+    if (isNoAnswer || m_header->bodyLength > m_maximumBytes) {
         m_isBroken = true;
         return state();
     }
--- a/Libraries/LibWire/LibWire.h
+++ b/Libraries/LibWire/LibWire.h
@@ -7,6 +7,7 @@
 #include <LibWire/FrameBuffer.h>
 #include <LibWire/FrameCodec.h>
 #include <LibWire/FrameType.h>
+#include <LibWire/HttpStatus.h>
 #include <LibWire/PeerConnection.h>
 #include <LibWire/TcpListener.h>
 #include <LibWire/TcpStream.h>
--- a/Tests/platform/TestUpstreamAnswers.cpp
+++ b/Tests/platform/TestUpstreamAnswers.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(testAnswersWithoutEndShareOneLimit);
     CPPUNIT_TEST(testUpstreamIsNotReadWhileAnswersCannotLeave);
     CPPUNIT_TEST(testAnswersThatEndEarly);
+    CPPUNIT_TEST(testStatusesThatAreNone);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t MaximumAnswerBytes = 4ULL * 1024 * 1024;
@@ -298,6 +299,55 @@
             }
         }
     }
+
+    // Guards against an answer with a status that HTTP does not have, such as 000 of an upstream in trouble, which the caller
+    // gets as the answer to its request. On both protocols, with and without an end of the connection.
+    void testStatusesThatAreNone()
+    {
+        struct Case
+        {
+            std::string status;
+            bool isAnswer;
+        };
+        const std::vector<Case> cases {
+            {"200", true},
+            {"404", true},
+            {"500", true},
+            {"599", true},
+            {"000", false},
+            {"0", false},
+            {"099", false},
+            {"99", false},
+            {"100", false},
+            {"199", false},
+            {"600", false},
+            {"999", false},
+            {"2000", false},
+            {"abc", false},
+            {"20x", false},
+            {"-20", false},
+            {"+200", false},
+            {"", false},
+        };
+        for (const EdgeKind kind : {EdgeKind::Platform, EdgeKind::Native}) {
+            for (const bool isLast : {true, false}) {
+                for (const Case &item : cases) {
+                    const std::string bytes = "HTTP/1.1 " + item.status + " X\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\nbody";
+                    Fixture fixture([&](std::size_t, std::size_t) { return ScriptedUpstream::Reply {bytes, {}, isLast}; }, kind);
+                    fixture.start("r1");
+                    const TimePoint end = fixture.clock.now() + std::chrono::milliseconds(300);
+                    runUntil([&] { return fixture.ends == 1 || fixture.clock.now() > end; });
+                    if (fixture.ends == 0) {
+                        // An interim answer without a final one: the deadline ends the request.
+                        fixture.client.abort(1);
+                    }
+                    const auto *failed = std::get_if<UpstreamRequestFailed>(&fixture.last.value());
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE("status " + item.status, item.isAnswer, failed == nullptr);
+                    CPPUNIT_ASSERT_MESSAGE("status " + item.status, failed == nullptr || failed->mayHaveRun);
+                }
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestUpstreamAnswers);
