--- a/Libraries/LibConfiguration/DocumentReader.cpp
+++ b/Libraries/LibConfiguration/DocumentReader.cpp
@@ -99,6 +99,9 @@
 {
     // Watches beyond 16 s would save hardly any calls.
     constexpr std::uint32_t MaximumDoublings = 4;
+    if (m_rank == 0) {
+        return std::min(m_settings.firstWatchTime, m_settings.watchTime);
+    }
     return m_settings.watchTime * (1U << std::min(m_rank, MaximumDoublings));
 }
 
--- a/Libraries/LibConfiguration/DocumentReader.h
+++ b/Libraries/LibConfiguration/DocumentReader.h
@@ -21,6 +21,8 @@
     /// Longest time that a watch of the first reader of a data centre waits for a change. A watch that the platform has
     /// lost looks like one without a change until then, so that this bounds how late the data centre learns of one.
     Duration watchTime = std::chrono::seconds(1);
+    /// The same for the first reader alone, where its answers have to confirm that the document is still the newest.
+    Duration firstWatchTime = std::chrono::seconds(1);
     /// Least time between two watches, for a platform that answers them without waiting.
     Duration watchPause = std::chrono::milliseconds(50);
     /// Time between a change and the next watch. Of documents that follow each other quickly only the last one is read, so
--- a/Libraries/LibLab/LabProcess.cpp
+++ b/Libraries/LibLab/LabProcess.cpp
@@ -4,6 +4,7 @@
 #include <LibLab/LabLoop.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -123,6 +124,17 @@
     return 0;
 }
 
+std::size_t LabProcess::openDescriptors() const
+{
+    const char *identifier = g_subprocess_get_identifier(m_process);
+    if (identifier == nullptr) {
+        return 0;
+    }
+    std::error_code error;
+    const std::filesystem::directory_iterator entries("/proc/" + std::string(identifier) + "/fd", error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(entries, std::filesystem::directory_iterator()));
+}
+
 bool LabProcess::waitForExit(Duration limit)
 {
     return runLoopUntil([this] { return !isRunning(); }, limit);
--- a/Libraries/LibLab/LabProcess.h
+++ b/Libraries/LibLab/LabProcess.h
@@ -38,6 +38,8 @@
     std::optional<int> exitStatus() const;
     /// The most memory that the process has held, in bytes; 0 after its end.
     std::uint64_t peakMemoryBytes() const;
+    /// Descriptors that the process has open; 0 after its end.
+    std::size_t openDescriptors() const;
     /// Returns false where the process still runs at the end of \a limit.
     bool waitForExit(Duration limit);
 
--- a/Libraries/LibProxy/ConfigurationTask.cpp
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -81,8 +81,8 @@
         documents.key = protocol.documentKey;
         if (settings.workspaces && settings.workspaces->isRevocationStrict) {
             // A watch confirms the version when it is answered.
-            constexpr int ConfirmationsPerRevocation = 12;
-            documents.watchTime = std::min(documents.watchTime, settings.workspaces->revocationTime / ConfirmationsPerRevocation);
+            constexpr int ConfirmationsPerRevocation = 10;
+            documents.firstWatchTime = std::min(documents.firstWatchTime, settings.workspaces->revocationTime / ConfirmationsPerRevocation);
         }
         m_documents.emplace(std::move(documents), clock, random);
     }
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -192,11 +192,13 @@
     if (!m_freshness) {
         return;
     }
-    // The platform is asked in person only where neither its readers nor the coordinators tell anything.
-    constexpr Duration LeastLeft = std::chrono::seconds(1);
+    // Readers ask first, and others only where neither readers nor coordinators tell them anything.
+    constexpr Duration LeastLeftOfReader = std::chrono::milliseconds(1500);
+    constexpr Duration LeastLeft = std::chrono::milliseconds(700);
     constexpr Duration CheckPeriod = std::chrono::milliseconds(500);
     constexpr int AskPeriods = 2;
-    if (m_freshness->left() < LeastLeft && ++m_freshnessChecks % AskPeriods == 0) {
+    const bool isReader = holdsRole(m_membership->table(), ReaderRoleName, m_settings.distribution.readersPerDataCentre);
+    if (m_freshness->left() < (isReader ? LeastLeftOfReader : LeastLeft) && ++m_freshnessChecks % AskPeriods == 0) {
         m_configuration->post(ConfirmationWanted {});
     }
     m_metrics.setGauge("fuchsiastep_freshness_lease_seconds", std::chrono::duration<double>(m_freshness->left()).count());
--- a/Libraries/LibRollout/RolloutController.cpp
+++ b/Libraries/LibRollout/RolloutController.cpp
@@ -7,14 +7,14 @@
 
 static constexpr std::uint32_t PermilleOfAll = 1000;
 /// Time between two reads of the orders, and while a roll-out is decided.
-static constexpr Duration ReadPeriod = std::chrono::seconds(1);
+static constexpr Duration ReadPeriod = std::chrono::seconds(2);
 static constexpr Duration BusyReadPeriod = std::chrono::milliseconds(500);
 /// Time for a write to be answered before the orders are read again.
 static constexpr Duration WriteTime = std::chrono::milliseconds(200);
 /// Every proxy has learned of the full share by then.
 static constexpr Duration FullShareTime = std::chrono::milliseconds(1500);
 /// What was read or heard longer ago is not enough to give a new version more requests.
-static constexpr Duration NewsTime = std::chrono::seconds(2);
+static constexpr Duration NewsTime = std::chrono::seconds(3);
 /// Parts of the time of a roll-out. Until the first one the new version keeps the canary share, since some faults show only
 /// late; the rest is for its share to grow and for the old upstreams to become idle.
 static constexpr double CanaryPart = 0.6;
