Bound the memory of requests that have not arrived whole

Each connection could hold a whole body, and a head in lines of 4 bytes took 20 times its size. One budget for all HTTP ports gives up the request that holds the most; heads that are not whole stay as they arrived; buffers give memory back; callers may open a third of the descriptors.

--- a/Libraries/LibCore/LogEvent.cpp
+++ b/Libraries/LibCore/LogEvent.cpp
@@ -122,6 +122,11 @@
         "RolloutOrderRejected",
         LogLevel::Warning,
         "The order of a roll-out cannot be read and is ignored."},
+    LogEventInfo {LogEvent::RequestGivenUp,
+        "RequestGivenUp",
+        LogLevel::Warning,
+        "Requests that have not arrived whole take too much memory; the largest one was closed."},
+    LogEventInfo {LogEvent::ConnectionRefused, "ConnectionRefused", LogLevel::Warning, "Every connection that clients may open is in use."},
     LogEventInfo {LogEvent::OperatorRequestRejected, "OperatorRequestRejected", LogLevel::Info, "An operator request is not valid."},
 };
 
--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -78,6 +78,8 @@
     CallerDoesNotRead = 6020,
     RolloutPhaseChanged = 6420,
     RolloutOrderRejected = 6421,
+    RequestGivenUp = 6430,
+    ConnectionRefused = 6431,
 
     OperatorRequestRejected = 7000,
 };
--- a/Libraries/LibHttp/HttpParser.cpp
+++ b/Libraries/LibHttp/HttpParser.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <exception>
 #include <set>
@@ -93,6 +94,15 @@
 
 } // namespace
 
+/// Of a head that is not whole, the library reads this much, and the rest stays as it arrived: the library takes 20 times the
+/// memory of a short field. A head of ordinary size is read as it comes, so that what is malformed is refused at once.
+constexpr std::size_t EagerHeadBytes = 1024;
+/// Memory that the library takes for a field beside its text.
+constexpr std::size_t FieldBytes = 96;
+/// An empty buffer keeps no more memory than this for the next bytes.
+constexpr std::size_t KeptBufferBytes = 4096;
+constexpr std::string_view EndOfHead = "\r\n\r\n";
+
 struct HttpParser::State
 {
     Kind kind;
@@ -105,6 +115,8 @@
     bool isBodyForbidden = false;
     /// Bytes of the current message that the library has read.
     std::size_t messageBytes = 0;
+    /// Memory of the fields of a head that is whole, while its body arrives.
+    std::size_t headMemory = 0;
     /// Size of the interim responses before the current message.
     std::size_t interimBytes = 0;
 
@@ -135,6 +147,7 @@
         hasStarted = false;
         isContinueTold = false;
         messageBytes = 0;
+        headMemory = 0;
     }
 
     std::size_t unread() const
@@ -147,6 +160,9 @@
         if (inputBegin == input.size()) {
             input.clear();
             inputBegin = 0;
+            if (input.capacity() > KeptBufferBytes) {
+                input.shrink_to_fit();
+            }
         }
     }
 
@@ -171,14 +187,45 @@
         return message;
     }
 
+    bool isHeadWhole() const
+    {
+        const std::string_view rest = std::string_view(input).substr(inputBegin);
+        // The library may have read the end of the last field.
+        return rest.starts_with(EndOfHead.substr(2)) || rest.find(EndOfHead) != std::string_view::npos;
+    }
+
+    /// Bytes that the library may read now.
+    template<typename Parser>
+    std::size_t readable(const Parser &current) const
+    {
+        if (kind == Kind::Response || current.is_header_done() || isHeadWhole()) {
+            return unread();
+        }
+        return messageBytes >= EagerHeadBytes ? 0 : std::min(unread(), EagerHeadBytes);
+    }
+
+    template<typename Parser>
+    static std::size_t memoryOfFields(const Parser &current)
+    {
+        std::size_t bytes = 0;
+        for (const auto &field : current.get()) {
+            bytes += field.name_string().size() + field.value().size() + FieldBytes;
+        }
+        return bytes;
+    }
+
     /// Hands unread bytes to the library. The result is false where it needs more of them.
     template<typename Parser>
     Result<bool> tryPut(Parser &current)
     {
         boost::system::error_code error;
         hasStarted = true;
+        const std::size_t length = readable(current);
+        if (length == 0) {
+            return false;
+        }
         try {
-            const std::size_t taken = current.put(boost::asio::const_buffer(input.data() + inputBegin, unread()), error);
+            const std::size_t taken = current.put(boost::asio::const_buffer(input.data() + inputBegin, length), error);
             inputBegin += taken;
             messageBytes += taken;
         } catch (const std::length_error &exception) {
@@ -191,6 +238,7 @@
             return kind == Kind::Request ? requestError(error) : responseError(error);
         }
         if (current.is_header_done()) {
+            headMemory = headMemory == 0 ? memoryOfFields(current) : headMemory;
             current.eager(true);
         }
         return !error;
@@ -304,11 +352,18 @@
             if constexpr (std::is_same_v<std::decay_t<decltype(parser)>, std::monostate>) {
                 return 0;
             } else {
-                return parser.get().body().size();
+                return parser.get().body().capacity();
             }
         },
         m_state->parser);
-    return bodyBytes + m_state->unread();
+    return bodyBytes + m_state->headMemory + m_state->input.capacity();
+}
+
+void HttpParser::discard()
+{
+    m_state->input = std::string();
+    m_state->inputBegin = 0;
+    m_state->restart();
 }
 
 bool HttpParser::hasHead() const
--- a/Libraries/LibHttp/HttpParser.h
+++ b/Libraries/LibHttp/HttpParser.h
@@ -41,8 +41,10 @@
 
     /// No byte of a further message has arrived.
     bool isBetweenMessages() const;
-    /// Bytes kept of a message that is not complete.
+    /// Memory that a message takes which is not complete, in bytes.
     std::size_t bytesHeld() const;
+    /// Frees that memory. The connection cannot be read further.
+    void discard();
     /// The head of the current message is complete, and its body is not.
     bool hasHead() const;
     /// The current request waits for "100 Continue". True once for each request.
--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -86,8 +86,62 @@
     m_maximumUnreadBytes = bytes;
 }
 
+void HttpServer::shareIngress(SharedIngress &ingress)
+{
+    m_ingress = &ingress;
+    m_ingressNumber = ingress.addServer([this](std::uint64_t connectionId) { giveUp(connectionId); });
+}
+
+void HttpServer::limitConnections(std::size_t count)
+{
+    m_maximumConnections = count;
+}
+
+bool HttpServer::closeIdle()
+{
+    const Connection *idle = nullptr;
+    for (const auto &[id, connection] : m_connections) {
+        const bool isIdle = connection->exchanges.empty() && connection->stream->bytesQueued() == 0;
+        if (isIdle && (idle == nullptr || connection->lastByteAt < idle->lastByteAt)) {
+            idle = connection.get();
+        }
+    }
+    if (idle == nullptr) {
+        return false;
+    }
+    abandon(idle->id);
+    return true;
+}
+
+void HttpServer::giveUp(std::uint64_t connectionId)
+{
+    const auto found = m_connections.find(connectionId);
+    if (found == m_connections.end()) {
+        return;
+    }
+    // The connection may be the one that is being read; it is closed by the sweep.
+    Connection &connection = *found->second;
+    logEvent(LogEvent::RequestGivenUp, {{"bytes", connection.parser.bytesHeld()}, {"limit", m_ingress->budget().limitBytes()}});
+    connection.parser.discard();
+    connection.isReadingDone = true;
+    connection.stream->setReading(false);
+    connection.closesAt = m_clock.now();
+    m_sweepTimer.setDeadline(m_clock.now());
+}
+
+void HttpServer::updateIngress(Connection &connection)
+{
+    if (m_ingress != nullptr) {
+        m_ingress->update({m_ingressNumber, connection.id}, connection.parser.bytesHeld(), connection.lastByteAt);
+    }
+}
+
 void HttpServer::accept(GSocket *socket)
 {
+    if (m_connections.size() >= m_maximumConnections && !closeIdle()) {
+        logEvent(LogEvent::ConnectionRefused, {{"connections", m_connections.size()}});
+        return;
+    }
     const std::uint64_t id = m_nextConnectionId++;
     auto connection = std::make_unique<Connection>(m_limits);
     connection->id = id;
@@ -114,7 +168,12 @@
     }
     connection.unparsedBytes += bytes.size();
     connection.parser.append(bytes);
+    const std::uint64_t id = connection.id;
     parse(connection);
+    const auto found = m_connections.find(id);
+    if (found != m_connections.end()) {
+        updateIngress(*found->second);
+    }
 }
 
 bool HttpServer::mayOpenNext(const Connection &connection) const
@@ -260,6 +319,9 @@
     }
     const std::unique_ptr<Connection> connection = std::move(found->second);
     m_connections.erase(found);
+    if (m_ingress != nullptr) {
+        m_ingress->remove({m_ingressNumber, connectionId});
+    }
     for (const Exchange &exchange : connection->exchanges) {
         m_connectionOfToken.erase(exchange.token);
         m_onEvent(HttpRequestAbandoned {exchange.token});
--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -2,11 +2,13 @@
 
 #include <LibCore/LibCore.h>
 #include <LibHttp/LibHttp.h>
+#include <LibProxy/SharedIngress.h>
 #include <LibProxy/Timer.h>
 #include <LibWire/LibWire.h>
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -84,6 +86,12 @@
     /// answer of this length is always kept.
     void limitUnreadAnswers(std::uint64_t bytes);
 
+    /// Requests that have not arrived whole count against \a ingress, which outlives the server.
+    void shareIngress(SharedIngress &ingress);
+    /// Connections that are open at once. Beyond it, the one that has been without a request for the longest time is closed for
+    /// a new one, or the new one where every other has a request.
+    void limitConnections(std::size_t count);
+
     /// Answers a request; has no effect where the client is gone.
     void answer(HttpAnswer answer);
     /// Requests that have no answer yet, or whose answer is still being written.
@@ -110,12 +118,19 @@
     bool isOverdue(const Connection &connection) const;
     void reject(Connection &connection, ErrorCode reason);
     void scheduleSweep();
+    void updateIngress(Connection &connection);
+    void giveUp(std::uint64_t connectionId);
+    /// Closes an idle connection. Returns false where there is none.
+    bool closeIdle();
 
     Clock m_clock = Clock::system();
     HttpServerLimits m_limits;
     std::uint64_t m_maximumUnreadBytes = 64ULL * 1024 * 1024;
     /// At least the bytes of answers that clients have not read.
     std::uint64_t m_unreadEstimate = 0;
+    SharedIngress *m_ingress = nullptr;
+    std::uint32_t m_ingressNumber = 0;
+    std::size_t m_maximumConnections = std::numeric_limits<std::size_t>::max();
     EventHandler m_onEvent;
     std::vector<std::unique_ptr<TcpListener>> m_listeners;
     std::uint64_t m_nextToken = 1;
--- a/Libraries/LibProxy/OperatorTask.cpp
+++ b/Libraries/LibProxy/OperatorTask.cpp
@@ -57,6 +57,12 @@
     return m_server.address();
 }
 
+void OperatorTask::limitClients(SharedIngress &ingress, std::size_t connections)
+{
+    m_server.shareIngress(ingress);
+    m_server.limitConnections(connections);
+}
+
 void OperatorTask::post(OperatorTaskMessage message)
 {
     m_mailbox.post(message);
--- a/Libraries/LibProxy/OperatorTask.h
+++ b/Libraries/LibProxy/OperatorTask.h
@@ -67,6 +67,8 @@
     /// Fails with ListenFailed.
     Result<Done> tryListen(const SocketAddress &address);
     SocketAddress address() const;
+    /// Requests that have not arrived whole count against \a ingress, and \a connections may be open at once.
+    void limitClients(SharedIngress &ingress, std::size_t connections);
 
     void post(OperatorTaskMessage message);
 
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -27,6 +27,7 @@
     , m_onStopped(std::move(onStopped))
     , m_startedAt(m_clock.now())
     , m_incarnation(static_cast<std::uint64_t>(m_clock.unixMilliseconds()))
+    , m_ingress(m_settings.limits.unfinishedRequestBytes)
     , m_drainTimer(m_clock,
           [this] {
               if (m_hasLeft) {
@@ -100,6 +101,7 @@
         std::make_unique<OperatorTask>(m_protocol, m_settings.upstream.silence(), m_clock, m_metrics, [this](OperatorTaskEvent event) {
             handleOperators(std::move(event));
         });
+    m_operators->limitClients(m_ingress, m_settings.limits.clientConnections);
     const Result<Done> control = m_operators->tryListen(m_settings.listen.control);
     if (isError(control)) {
         return errorOf(control);
@@ -147,6 +149,7 @@
         m_freshness.get(),
         m_rollouts.get(),
         [this](const RequestTaskEvent &event) { handleRequests(event); });
+    m_requests->shareIngress(m_ingress);
     const Result<Done> callers = m_requests->tryListen(m_settings.listen.callers);
     if (isError(callers)) {
         return errorOf(callers);
--- a/Libraries/LibProxy/ProxyRuntime.h
+++ b/Libraries/LibProxy/ProxyRuntime.h
@@ -75,6 +75,8 @@
     std::optional<Endpoint> m_endpoint;
     std::optional<UpstreamAnnouncement> m_lastAnnouncement;
 
+    /// Outlives the tasks with HTTP servers.
+    SharedIngress m_ingress;
     std::unique_ptr<PlatformClient> m_platform;
     std::unique_ptr<PeerLinks> m_links;
     std::unique_ptr<MembershipTask> m_membership;
--- a/Libraries/LibProxy/ProxySettings.cpp
+++ b/Libraries/LibProxy/ProxySettings.cpp
@@ -272,6 +272,21 @@
         if (memoryMegabytes > 0) {
             limits.bufferBytes = LimitSettings::bufferBytesWithin(static_cast<std::uint64_t>(memoryMegabytes * BytesPerMegabyte));
         }
+        if (memoryMegabytes > 0) {
+            limits.unfinishedRequestBytes =
+                LimitSettings::unfinishedBytesWithin(static_cast<std::uint64_t>(memoryMegabytes * BytesPerMegabyte));
+        }
+        const double unfinishedMegabytes = reader.optionalNumber("unfinished_requests_mb", 0, 0, MaximumMemoryMegabytes);
+        if (unfinishedMegabytes > 0) {
+            limits.unfinishedRequestBytes = static_cast<std::uint64_t>(unfinishedMegabytes * BytesPerMegabyte);
+        }
+        constexpr std::int64_t MaximumDescriptors = 10'000'000;
+        const std::int64_t descriptors = reader.optionalInteger("descriptors", 0, 0, MaximumDescriptors);
+        if (descriptors > 0) {
+            limits.clientConnections = LimitSettings::connectionsWithin(static_cast<std::uint32_t>(descriptors));
+        }
+        limits.clientConnections =
+            static_cast<std::uint32_t>(reader.optionalInteger("client_connections", limits.clientConnections, 1, MaximumDescriptors));
         limits.answerBodyBytes = std::min(limits.answerBodyBytes, limits.bufferBytes);
         const double graceSeconds = reader.optionalNumber("grace_s", 0, 0, MaximumGraceSeconds);
         if (graceSeconds > 0) {
--- a/Libraries/LibProxy/ProxySettings.h
+++ b/Libraries/LibProxy/ProxySettings.h
@@ -6,6 +6,7 @@
 #include <LibRouting/RetryBudgets.h>
 #include <LibWire/FrameCodec.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -80,6 +81,10 @@
     /// Bytes that each of these may keep: answers that the upstream is writing, answers on their way to other proxies,
     /// requests and answers of own callers, and answers that own callers have not read.
     std::uint64_t bufferBytes = 64ULL * 1024 * 1024;
+    /// Bytes of requests that have not arrived whole, on all ports of the proxy together.
+    std::uint64_t unfinishedRequestBytes = 64ULL * 1024 * 1024;
+    /// Connections that callers may open, and as many that operators, the upstream and monitoring may.
+    std::uint32_t clientConnections = 100'000;
     std::uint32_t requestsInFlight = 1024;
     std::uint32_t queuePerSlot = 4;
     Duration queueTime = std::chrono::milliseconds(500);
@@ -103,6 +108,21 @@
         return memoryBytes / ShareOfMemory;
     }
 
+    /// The same for requests that have not arrived whole.
+    static std::uint64_t unfinishedBytesWithin(std::uint64_t memoryBytes)
+    {
+        constexpr std::uint64_t ShareOfMemory = 5;
+        return memoryBytes / ShareOfMemory;
+    }
+
+    /// The connections of callers in a process that may open \a descriptors. The rest is for the proxy's own connections, so that
+    /// callers cannot cut it off from the platform and from other proxies.
+    static std::uint32_t connectionsWithin(std::uint32_t descriptors)
+    {
+        constexpr std::uint32_t ShareOfDescriptors = 3;
+        return std::max(1U, descriptors / ShareOfDescriptors);
+    }
+
     /// The drain time of a process that is killed \a grace after it was told to end: what is left hands over the last
     /// answers and takes leave of the fleet.
     static Duration drainTimeWithin(Duration grace)
--- a/Libraries/LibProxy/RequestTask.cpp
+++ b/Libraries/LibProxy/RequestTask.cpp
@@ -63,6 +63,7 @@
     })
 {
     m_callers.limitUnreadAnswers(settings.limits.bufferBytes);
+    m_callers.limitConnections(settings.limits.clientConnections);
 }
 
 RequestTask::~RequestTask() = default;
@@ -77,6 +78,11 @@
     return m_callers.address();
 }
 
+void RequestTask::shareIngress(SharedIngress &ingress)
+{
+    m_callers.shareIngress(ingress);
+}
+
 void RequestTask::post(RequestTaskMessage message)
 {
     m_mailbox.post(std::move(message));
--- a/Libraries/LibProxy/RequestTask.h
+++ b/Libraries/LibProxy/RequestTask.h
@@ -144,6 +144,8 @@
     /// Opens the callers' listener. Fails with ListenFailed.
     Result<Done> tryListen(const SocketAddress &address);
     SocketAddress address() const;
+    /// Requests that have not arrived whole count against \a ingress.
+    void shareIngress(SharedIngress &ingress);
 
     void post(RequestTaskMessage message);
 
--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -64,6 +64,17 @@
     return bytes;
 }
 
+/// Memory that a request takes while it is in flight, in bytes. Short fields take far more than their text.
+static std::uint64_t memoryOf(const CallerRequest &request)
+{
+    constexpr std::uint64_t FieldBytes = 128;
+    std::uint64_t bytes = request.path.size() + request.body.size();
+    for (const auto &[name, value] : request.headers) {
+        bytes += name.size() + value.size() + FieldBytes;
+    }
+    return bytes;
+}
+
 RequestCoordinator::RequestCoordinator(Settings settings, RoutingState &routing, UpstreamSelector &selector, const Clock &clock)
     : m_settings(settings), m_routing(routing), m_selector(selector), m_clock(clock)
 { }
@@ -138,7 +149,7 @@
     if (hasTarget(rules)) {
         pending.targetAt = m_clock.now() + rules.targetLatency;
     }
-    m_bufferedBytes += request.body.size();
+    m_bufferedBytes += memoryOf(request);
     m_deadlines.emplace(pending.deadline, request.token);
     m_pending.emplace(request.token, std::move(pending));
     dispatch(request.token);
@@ -290,7 +301,7 @@
     if (!isRepeatable && request.key.empty() && rulesOf(request).isKeyRequired) {
         return Error {ErrorCode::KeyRequired, request.method + " on " + request.service};
     }
-    if (m_pending.size() >= m_settings.maximumInFlight || m_bufferedBytes + request.body.size() > m_settings.maximumBufferedBytes) {
+    if (m_pending.size() >= m_settings.maximumInFlight || m_bufferedBytes + memoryOf(request) > m_settings.maximumBufferedBytes) {
         return Error {ErrorCode::UpstreamBusy, "this proxy holds as many requests as it may"};
     }
     return std::nullopt;
@@ -616,7 +627,7 @@
     m_counts.answered += answer.outcome == RequestOutcome::Answered ? 1 : 0;
     m_counts.notRun += answer.outcome == RequestOutcome::NotRun ? 1 : 0;
     m_counts.unknown += answer.outcome == RequestOutcome::Unknown ? 1 : 0;
-    m_bufferedBytes -= pending.request.body.size();
+    m_bufferedBytes -= memoryOf(pending.request);
     m_deadlines.erase({pending.deadline, token});
     m_pending.erase(found);
     m_outputs.emplace_back(std::move(answer));
