Share the slots of an upstream fairly among workspaces

One workspace that sends seven times its usual took every slot and place of the queue, since requests were ordered by due time alone. Start-time fair queueing within a priority; a full queue sheds from the workspace with the most places. Without workspaces the order is the same.

--- a/Libraries/LibRequest/AdmissionQueue.cpp
+++ b/Libraries/LibRequest/AdmissionQueue.cpp
@@ -4,35 +4,29 @@
 
 namespace Fuchsiastep {
 
-AdmissionQueue::Key AdmissionQueue::keyOf(const Entry &entry)
+FairQueue::Entry AdmissionQueue::itemOf(const Entry &entry)
 {
     return {entry.dueAt, entry.localId, entry.service};
 }
 
 void AdmissionQueue::push(const Entry &entry)
 {
-    const auto level = static_cast<std::size_t>(entry.priority);
-    if (m_levels.at(level).insert(keyOf(entry)).second) {
-        m_work.at(level) += entry.service;
-    }
+    m_levels.at(static_cast<std::size_t>(entry.priority)).insert(entry.workspace, itemOf(entry));
 }
 
 void AdmissionQueue::remove(const Entry &entry)
 {
-    const auto level = static_cast<std::size_t>(entry.priority);
-    if (m_levels.at(level).erase(keyOf(entry)) > 0) {
-        m_work.at(level) -= entry.service;
-    }
+    m_levels.at(static_cast<std::size_t>(entry.priority)).remove(entry.workspace, itemOf(entry));
 }
 
-AdmissionQueue::Level *AdmissionQueue::nextLevel()
+FairQueue *AdmissionQueue::nextLevel()
 {
-    const auto isFilled = [](const Level &level) {
-        return !level.empty();
+    const auto isFilled = [](const FairQueue &level) {
+        return !level.isEmpty();
     };
     if (m_starts % StartsPerFairOne == StartsPerFairOne - 1) {
-        const auto earliest = std::min_element(m_levels.begin(), m_levels.end(), [&](const Level &left, const Level &right) {
-            return isFilled(left) && (!isFilled(right) || *left.begin() < *right.begin());
+        const auto earliest = std::min_element(m_levels.begin(), m_levels.end(), [&](const FairQueue &left, const FairQueue &right) {
+            return isFilled(left) && (!isFilled(right) || *left.earliest() < *right.earliest());
         });
         return isFilled(*earliest) ? &*earliest : nullptr;
     }
@@ -42,25 +36,23 @@
 
 std::optional<LocalId> AdmissionQueue::pop()
 {
-    Level *level = nextLevel();
+    FairQueue *level = nextLevel();
     if (level == nullptr) {
         return std::nullopt;
     }
     ++m_starts;
-    const auto [dueAt, localId, service] = *level->begin();
-    level->erase(level->begin());
-    m_work.at(static_cast<std::size_t>(level - m_levels.data())) -= service;
-    return localId;
+    return level->takeNext().localId;
 }
 
-std::optional<LocalId> AdmissionQueue::leastUrgentBelow(RequestPriority priority) const
+std::optional<LocalId> AdmissionQueue::excessFor(RequestPriority priority, const std::string &workspace) const
 {
-    for (std::size_t level = 0; level < static_cast<std::size_t>(priority); ++level) {
-        if (!m_levels.at(level).empty()) {
-            return std::get<LocalId>(*m_levels.at(level).rbegin());
+    const auto own = static_cast<std::size_t>(priority);
+    for (std::size_t level = 0; level < own; ++level) {
+        if (const std::optional<FairQueue::Entry> latest = m_levels.at(level).latest()) {
+            return latest->localId;
         }
     }
-    return std::nullopt;
+    return m_levels.at(own).excessOver(workspace);
 }
 
 bool AdmissionQueue::isEmpty() const
@@ -71,26 +63,20 @@
 std::size_t AdmissionQueue::size() const
 {
     std::size_t sum = 0;
-    for (const Level &level : m_levels) {
+    for (const FairQueue &level : m_levels) {
         sum += level.size();
     }
     return sum;
 }
 
-Duration AdmissionQueue::workAhead(RequestPriority priority, TimePoint dueAt) const
+Duration AdmissionQueue::workAhead(const Entry &entry) const
 {
-    const auto own = static_cast<std::size_t>(priority);
+    const auto own = static_cast<std::size_t>(entry.priority);
     Duration work {0};
     for (std::size_t level = own + 1; level < m_levels.size(); ++level) {
-        work += m_work.at(level);
-    }
-    for (const Key &key : m_levels.at(own)) {
-        if (std::get<TimePoint>(key) > dueAt) {
-            break;
-        }
-        work += std::get<Duration>(key);
+        work += m_levels.at(level).work();
     }
-    return work;
+    return work + m_levels.at(own).workAhead(entry.workspace, entry.dueAt, entry.service);
 }
 
 } // namespace Fuchsiastep
--- a/Libraries/LibRequest/AdmissionQueue.h
+++ b/Libraries/LibRequest/AdmissionQueue.h
@@ -3,18 +3,18 @@
 #include <LibConfiguration/RouteRules.h>
 #include <LibCore/Clock.h>
 #include <LibRequest/ClaimMessages.h>
+#include <LibRequest/FairQueue.h>
 
 #include <array>
 #include <cstdint>
 #include <optional>
-#include <set>
-#include <tuple>
+#include <string>
 
 namespace Fuchsiastep {
 
 /// The order in which requests wait for the slots of one upstream: by priority, then by the time at which their answer
-/// is due. It answers overload by requests of several priorities: urgent ones wait least, and the others still get a
-/// share of the slots.
+/// is due, in fair shares among the workspaces of one priority. It answers overload by requests of several priorities: urgent
+/// ones wait least, and the others still get a share of the slots.
 class AdmissionQueue
 {
 public:
@@ -29,29 +29,28 @@
         TimePoint dueAt;
         /// Expected time on the upstream.
         Duration service {0};
+        /// Workspace of the caller; empty for none.
+        std::string workspace {};
     };
 
     void push(const Entry &entry);
     void remove(const Entry &entry);
     /// The request that starts next; removes it.
     std::optional<LocalId> pop();
-    /// The request below \a priority that is due last, to be shed for a more urgent one.
-    std::optional<LocalId> leastUrgentBelow(RequestPriority priority) const;
+    /// The request to shed for one of this priority and workspace: the one below the priority that is due last, else one of a
+    /// workspace of the same priority that has more than its share of the places.
+    std::optional<LocalId> excessFor(RequestPriority priority, const std::string &workspace) const;
 
     bool isEmpty() const;
     std::size_t size() const;
-    /// Service time of the requests that start before one of this priority and due time.
-    Duration workAhead(RequestPriority priority, TimePoint dueAt) const;
+    /// Service time of the requests that start before this one, which is not queued yet.
+    Duration workAhead(const Entry &entry) const;
 
 private:
-    using Key = std::tuple<TimePoint, LocalId, Duration>;
-    using Level = std::set<Key>;
+    static FairQueue::Entry itemOf(const Entry &entry);
+    FairQueue *nextLevel();
 
-    static Key keyOf(const Entry &entry);
-    Level *nextLevel();
-
-    std::array<Level, 3> m_levels;
-    std::array<Duration, 3> m_work {};
+    std::array<FairQueue, 3> m_levels;
     std::uint32_t m_starts = 0;
 };
 
--- a/Libraries/LibRequest/LibRequest.h
+++ b/Libraries/LibRequest/LibRequest.h
@@ -12,6 +12,7 @@
 #include <LibRequest/CoordinatorOutput.h>
 #include <LibRequest/DrainAdmission.h>
 #include <LibRequest/DrainRequested.h>
+#include <LibRequest/FairQueue.h>
 #include <LibRequest/GateInput.h>
 #include <LibRequest/GateOutput.h>
 #include <LibRequest/PriorityHeader.h>
--- a/Libraries/LibRequest/UpstreamGate.cpp
+++ b/Libraries/LibRequest/UpstreamGate.cpp
@@ -382,7 +382,7 @@
     if (wait > m_settings.maximumQueueTime || m_clock.now() + wait + reservedTime(entry) > entry.dueAt) {
         return Error {ErrorCode::UpstreamBusy, "the expected wait is too long"};
     }
-    if (!makePlaceFor(entry.priority)) {
+    if (!makePlaceFor(entry)) {
         return Error {ErrorCode::UpstreamBusy, "the queue is full"};
     }
     return std::nullopt;
@@ -396,16 +396,16 @@
     return std::min(m_serviceTimes.likelyOf(entry.frame.selector), std::max(entry.service, half));
 }
 
-bool UpstreamGate::makePlaceFor(RequestPriority priority)
+bool UpstreamGate::makePlaceFor(const Entry &entry)
 {
     if (waiting() < static_cast<std::size_t>(m_settings.queuePlacesPerSlot) * capacity()) {
         return true;
     }
-    const std::optional<LocalId> lessUrgent = m_queue.leastUrgentBelow(priority);
-    if (lessUrgent) {
-        dropNotRun(*lessUrgent, ErrorCode::UpstreamBusy, "shed for a request of higher priority");
+    const std::optional<LocalId> excess = m_queue.excessFor(entry.priority, entry.frame.workspace);
+    if (excess) {
+        dropNotRun(*excess, ErrorCode::UpstreamBusy, "shed for a request of higher priority or of another workspace");
     }
-    return lessUrgent.has_value();
+    return excess.has_value();
 }
 
 std::uint32_t UpstreamGate::capacity() const
@@ -417,13 +417,13 @@
 {
     // One more than those ahead has to end before a slot is free for this one.
     const auto ahead = static_cast<std::int64_t>(m_claiming + m_isolatedQueue.size() + 1);
-    const Duration work = m_serviceTimes.mean() * ahead + m_queue.workAhead(entry.priority, entry.dueAt);
+    const Duration work = m_serviceTimes.mean() * ahead + m_queue.workAhead(queueEntry(0, entry));
     return work / std::max(1U, capacity());
 }
 
 AdmissionQueue::Entry UpstreamGate::queueEntry(LocalId localId, const Entry &entry)
 {
-    return {localId, entry.priority, entry.dueAt, entry.service};
+    return {localId, entry.priority, entry.dueAt, entry.service, entry.frame.workspace};
 }
 
 void UpstreamGate::enqueue(LocalId localId, Entry &entry)
--- a/Libraries/LibRequest/UpstreamGate.h
+++ b/Libraries/LibRequest/UpstreamGate.h
@@ -111,7 +111,7 @@
     /// What a crash that ends \a runs tells about the requests.
     CrashReport crashReport(const std::vector<LocalId> &runs) const;
     std::optional<Error> refusal(const Entry &entry);
-    bool makePlaceFor(RequestPriority priority);
+    bool makePlaceFor(const Entry &entry);
     std::uint32_t capacity() const;
     Duration expectedWait(const Entry &entry) const;
     std::optional<Error> refusalToQueue(const Entry &entry);
--- a/Tests/LibRequest/TestAdmissionQueue.cpp
+++ b/Tests/LibRequest/TestAdmissionQueue.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -15,6 +16,8 @@
     CPPUNIT_TEST(testOrder);
     CPPUNIT_TEST(testUrgentFloodStarvesNobody);
     CPPUNIT_TEST(testWorkAheadMatchesFullScan);
+    CPPUNIT_TEST(testBurstOfOneWorkspaceStarvesNobody);
+    CPPUNIT_TEST(testPlacesAreSharedAmongWorkspaces);
     CPPUNIT_TEST_SUITE_END();
 
     static AdmissionQueue::Entry entry(LocalId id, RequestPriority priority, int dueMs, int serviceMs = 100)
@@ -30,8 +33,8 @@
         queue.push(entry(2, RequestPriority::High, 900));
         queue.push(entry(3, RequestPriority::High, 300));
         queue.push(entry(4, RequestPriority::Normal, 200));
-        CPPUNIT_ASSERT(queue.leastUrgentBelow(RequestPriority::High) == LocalId(1));
-        CPPUNIT_ASSERT(!queue.leastUrgentBelow(RequestPriority::Low));
+        CPPUNIT_ASSERT(queue.excessFor(RequestPriority::High, {}) == LocalId(1));
+        CPPUNIT_ASSERT(!queue.excessFor(RequestPriority::Low, {}));
         for (const LocalId expected : {3, 2, 4, 1}) {
             CPPUNIT_ASSERT(queue.pop() == expected);
         }
@@ -85,11 +88,86 @@
                     expected += isAhead ? item.service : Duration(0);
                 }
                 const std::string message = "seed " + std::to_string(seed);
-                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, expected.count(), queue.workAhead(priority, dueAt).count());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, expected.count(), queue.workAhead({0, priority, dueAt}).count());
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(message, naive.size(), queue.size());
             }
         }
     }
+
+    // Guards against one workspace that sends many times its usual and takes every slot and place: 31 workspaces, one of which
+    // sends seven times its share, at an upstream that serves what the others send.
+    void testBurstOfOneWorkspaceStarvesNobody()
+    {
+        constexpr std::size_t Workspaces = 31;
+        constexpr std::size_t Places = 32;
+        constexpr double HotFactor = 7;
+        constexpr int Rounds = 20'000;
+        AdmissionQueue queue;
+        Random random(20261207);
+        std::map<LocalId, AdmissionQueue::Entry> waiting;
+        std::map<std::string, std::pair<int, int>> servedOfAsked;
+        LocalId next = 1;
+        const auto arrive = [&](const std::string &workspace, int round) {
+            AdmissionQueue::Entry item = entry(next++, RequestPriority::Normal, round + 300, 50 + static_cast<int>(random.below(100)));
+            item.workspace = workspace;
+            ++servedOfAsked[workspace].second;
+            if (queue.size() >= Places) {
+                const std::optional<LocalId> excess = queue.excessFor(item.priority, workspace);
+                if (!excess) {
+                    return;
+                }
+                queue.remove(waiting.at(*excess));
+                waiting.erase(*excess);
+            }
+            queue.push(item);
+            waiting[item.localId] = item;
+        };
+        for (int round = 0; round < Rounds; ++round) {
+            for (std::size_t workspace = 0; workspace < Workspaces; ++workspace) {
+                const double share = (workspace == 0 ? HotFactor : 1) / static_cast<double>(Workspaces);
+                if (random.chance(share)) {
+                    arrive("workspace-" + std::to_string(workspace), round);
+                }
+            }
+            if (const std::optional<LocalId> started = queue.pop()) {
+                ++servedOfAsked[waiting.at(*started).workspace].first;
+                waiting.erase(*started);
+            }
+        }
+        double mean = 0;
+        std::vector<double> shares;
+        for (const auto &[workspace, counts] : servedOfAsked) {
+            shares.push_back(static_cast<double>(counts.first) / counts.second);
+            mean += shares.back() / static_cast<double>(Workspaces);
+        }
+        for (const double share : shares) {
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(share) + " of a mean of " + std::to_string(mean), share >= mean / 4);
+        }
+        // The others are served as without the burst, whose own requests bear the lack of room.
+        const std::size_t served =
+            static_cast<std::size_t>(std::count_if(shares.begin(), shares.end(), [](double share) { return share > 0.9; }));
+        CPPUNIT_ASSERT_EQUAL(Workspaces - 1, served);
+    }
+
+    // Guards against a request that takes the place of one of a workspace with no more requests than its own.
+    void testPlacesAreSharedAmongWorkspaces()
+    {
+        AdmissionQueue queue;
+        const auto push = [&queue](LocalId id, const std::string &workspace) {
+            AdmissionQueue::Entry item = entry(id, RequestPriority::Normal, static_cast<int>(id));
+            item.workspace = workspace;
+            queue.push(item);
+        };
+        push(1, "north");
+        push(2, "north");
+        push(3, "north");
+        push(4, "south");
+        CPPUNIT_ASSERT(queue.excessFor(RequestPriority::Normal, "west") == LocalId(3));
+        CPPUNIT_ASSERT(queue.excessFor(RequestPriority::Normal, "south") == LocalId(3));
+        CPPUNIT_ASSERT(!queue.excessFor(RequestPriority::Normal, "north"));
+        push(5, "south");
+        CPPUNIT_ASSERT(!queue.excessFor(RequestPriority::Normal, "south"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestAdmissionQueue);
