--- a/Libraries/LibFleet/AllowanceCoordinator.cpp
+++ b/Libraries/LibFleet/AllowanceCoordinator.cpp
@@ -47,7 +47,13 @@
 AllowanceLimit AllowanceCoordinator::limitHere(const AllowanceLimit &limit) const
 {
     const auto share = static_cast<double>(std::max<std::size_t>(1, m_settings.dataCentres));
-    return {limit.requestsPerSecond / share, limit.burst / share};
+    // Half of the slack makes up for what is lost where a quota of few requests is divided into whole tokens.
+    return {limit.requestsPerSecond / share, limit.burst / share + slackHere()};
+}
+
+double AllowanceCoordinator::slackHere() const
+{
+    return static_cast<double>(m_settings.slack) / 2 / static_cast<double>(std::max<std::size_t>(1, m_settings.dataCentres));
 }
 
 double AllowanceCoordinator::reportingShare() const
@@ -62,6 +68,8 @@
     if (isNew) {
         // Without demand it has filled since this member began to act.
         bucket.refilledAt = *m_actingSince;
+        // What another coordinator granted before leaves this part of the slack in any case.
+        bucket.level = slackHere();
     }
     refill(bucket, limit);
     return bucket;
@@ -98,7 +106,8 @@
         const double part = known.perSecond / bucket.demandPerSecond;
         const double saved = std::max(0.0, bucket.level - rate * secondsOf(m_settings.reportPeriod()));
         known.credit = std::min(known.credit + part * rate * secondsOf(sinceLast), 1 + part * rate * secondsOf(m_settings.tokenLifetime()));
-        available = std::min(bucket.level, known.credit + part * saved);
+        // A token is not divided: it goes to the member that asks first.
+        available = std::min(bucket.level, std::max(1.0, known.credit + part * saved));
     }
     AllowanceGrant result {demand.workspace};
     result.tokens = std::min(demand.wanted, static_cast<std::uint64_t>(std::max(0.0, std::floor(available))));
@@ -107,7 +116,10 @@
     bucket.missing += static_cast<double>(demand.wanted - result.tokens);
     result.pressurePermille = static_cast<std::uint64_t>(
         PermilleOfAll * std::clamp(rate > 0 ? bucket.demandPerSecond / rate : PermilleOfAll, 1.0, PermilleOfAll));
-    if (result.tokens < demand.wanted) {
+    // A member that wants a token or two more may ask again at once; many wishes would only cost messages.
+    constexpr std::uint64_t FewTokens = 2;
+    const std::uint64_t lacking = demand.wanted - result.tokens;
+    if (lacking > FewTokens || (lacking > 0 && (result.tokens == 0 || bucket.level < 1))) {
         result.exhaustedForMs =
             static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.reportPeriod()).count());
     }
--- a/Libraries/LibFleet/AllowanceCoordinator.h
+++ b/Libraries/LibFleet/AllowanceCoordinator.h
@@ -57,6 +57,8 @@
     };
 
     AllowanceLimit limitHere(const AllowanceLimit &limit) const;
+    /// Part of the slack of a quota that this data centre uses.
+    double slackHere() const;
     Bucket &bucketOf(const std::string &workspace, const AllowanceLimit &limit);
     void refill(Bucket &bucket, const AllowanceLimit &limit);
     AllowanceGrant grant(const std::string &member, const AllowanceDemand &demand, const AllowanceLimit &limit);
--- a/Libraries/LibFleet/FleetExchange.cpp
+++ b/Libraries/LibFleet/FleetExchange.cpp
@@ -12,7 +12,7 @@
 static constexpr std::size_t MaximumCandidates = 4;
 
 FleetExchange::FleetExchange(FleetExchangeSettings settings, const MembershipTable &table, const Clock &clock)
-    : m_settings(settings), m_table(table), m_clock(clock)
+    : m_settings(settings), m_table(table), m_clock(clock), m_nextCheck(clock.now())
 { }
 
 void FleetExchange::addTopic(FleetTopicHandlers handlers)
@@ -30,6 +30,7 @@
 {
     if (!isAnyTopicInUse()) {
         m_links.clear();
+        m_nextCheck = m_clock.now() + m_settings.reportPeriod;
         return {};
     }
     std::erase_if(m_passedOver, [now = m_clock.now()](const auto &entry) { return entry.second <= now; });
@@ -53,7 +54,7 @@
         return std::nullopt;
     }
     if (m_links.empty()) {
-        return m_clock.now() + m_settings.reportPeriod;
+        return m_nextCheck;
     }
     TimePoint next = TimePoint::max();
     for (const auto &[dataCentre, link] : m_links) {
--- a/Libraries/LibFleet/FleetExchange.h
+++ b/Libraries/LibFleet/FleetExchange.h
@@ -97,6 +97,8 @@
     std::map<std::string, Link> m_links;
     /// Members that did not answer, until when they are passed over.
     std::map<std::string, TimePoint> m_passedOver;
+    /// When it is looked again whether a topic is in use.
+    TimePoint m_nextCheck;
     std::uint64_t m_nextSequence = 1;
     std::vector<FleetExchangeOutput> m_outputs;
 };
--- a/Libraries/LibRollout/RolloutController.cpp
+++ b/Libraries/LibRollout/RolloutController.cpp
@@ -226,9 +226,10 @@
     } else if (rollout.state.phase == RolloutPhase::Ramping && rollout.state.sharePermille == PermilleOfAll) {
         const Duration age = m_clock.now() - rollout.orderedAt;
         const Duration length = rollout.state.order.length;
-        const bool isLast = age >= std::min(scaled(length, WritePart), length - LastWriteTime);
+        // Requests that still run there are cut off; later the deadline is missed anyway.
+        const bool isLast = age >= std::min(scaled(length, WritePart), length - LastWriteTime) && age <= length;
         const bool isKnown = rollout.fullSince && m_clock.now() - *rollout.fullSince >= FullShareTime;
-        if ((isKnown && isOldIdle(rollout)) || isLast) {
+        if (isKnown && (isOldIdle(rollout) || isLast)) {
             wanted = RolloutStatus::Completed;
         }
     }
--- a/Tests/LibRollout/RolloutFleet.h
+++ b/Tests/LibRollout/RolloutFleet.h
@@ -86,7 +86,11 @@
     }
     void setCutOff(std::size_t dataCentre, bool isCutOff)
     {
-        isCutOff ? m_cutOff.insert(dataCentre) : m_cutOff.erase(dataCentre);
+        if (isCutOff) {
+            m_cutOff.insert(dataCentre);
+        } else {
+            m_cutOff.erase(dataCentre);
+        }
     }
     void setPlatformDown(bool isDown)
     {
