--- a/Libraries/LibRouting/PlacementPolicy.cpp
+++ b/Libraries/LibRouting/PlacementPolicy.cpp
@@ -11,18 +11,10 @@
 
 std::optional<Placement> PlacementPolicy::choose(const Route &route, const Request &request)
 {
-    const std::size_t size = route.endpoints.size();
-    const std::size_t probes = std::min(size, m_settings.maximumProbes);
-    const std::size_t begin = size > 0 ? m_random.below(size) : 0;
     const Duration typicalService = typicalServiceTime(route);
     std::optional<Candidate> best;
     std::optional<Candidate> next;
-    for (std::size_t count = 0; count < probes; ++count) {
-        const std::size_t position = (begin + count) % size;
-        const std::string &id = route.endpoints[position]->upstreamId;
-        if (std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end()) {
-            continue;
-        }
+    for (const std::size_t position : drawPositions(route, request.excluded)) {
         const Candidate candidate = examine(route, position, request, typicalService);
         if (!best || isBetter(candidate, *best)) {
             next = best;
@@ -41,6 +33,30 @@
     return placement;
 }
 
+std::vector<std::size_t> PlacementPolicy::drawPositions(const Route &route, const std::vector<std::string> &excluded)
+{
+    const std::size_t size = route.endpoints.size();
+    const std::size_t probes = std::min(size, m_settings.maximumProbes);
+    const std::size_t begin = size > 0 ? m_random.below(size) : 0;
+    std::vector<std::size_t> positions;
+    positions.reserve(probes);
+    for (std::size_t count = 0; count < probes; ++count) {
+        const std::size_t position = (begin + count) % size;
+        const std::string &id = route.endpoints[position]->upstreamId;
+        if (std::find(excluded.begin(), excluded.end(), id) == excluded.end()) {
+            positions.push_back(position);
+        }
+    }
+    const std::size_t wanted = m_settings.sampleSize;
+    if (wanted > 0 && positions.size() > wanted) {
+        for (std::size_t index = 0; index < wanted; ++index) {
+            std::swap(positions[index], positions[index + m_random.below(positions.size() - index)]);
+        }
+        positions.resize(wanted);
+    }
+    return positions;
+}
+
 PlacementPolicy::Candidate PlacementPolicy::examine(
     const Route &route, std::size_t position, const Request &request, Duration typicalService)
 {
--- a/Libraries/LibRouting/PlacementPolicy.h
+++ b/Libraries/LibRouting/PlacementPolicy.h
@@ -53,6 +53,9 @@
         Duration waitSlack = std::chrono::milliseconds(15);
         /// Endpoints looked at for each request at most.
         std::size_t maximumProbes = 64;
+        /// Endpoints that are compared for a request, drawn at random; 0 for all. Proxies that compare all of them by equally old
+        /// reports choose the same one at the same moment.
+        std::size_t sampleSize = 0;
     };
 
     /// What the choice depends on beside the upstreams.
@@ -83,6 +86,8 @@
         bool isEjected = false;
     };
 
+    /// Positions of the endpoints that are compared.
+    std::vector<std::size_t> drawPositions(const Route &route, const std::vector<std::string> &excluded);
     Candidate examine(const Route &route, std::size_t position, const Request &request, Duration typicalService);
     Duration distance(const Endpoint &endpoint, double answerBytes) const;
     Duration typicalServiceTime(const Route &route) const;
--- a/Libraries/LibRouting/UpstreamSelector.cpp
+++ b/Libraries/LibRouting/UpstreamSelector.cpp
@@ -14,6 +14,8 @@
     placements.dataCentre = settings.dataCentre;
     placements.region = settings.region;
     placements.maximumProbes = settings.maximumProbes;
+    placements.sampleSize = settings.sampleSize;
+    placements.spread = settings.spread;
     return placements;
 }
 
--- a/Libraries/LibRouting/UpstreamSelector.h
+++ b/Libraries/LibRouting/UpstreamSelector.h
@@ -25,6 +25,9 @@
         std::string proxyId = {};
         /// Endpoints looked at in each locality tier at most.
         std::size_t maximumProbes = 64;
+        /// See PlacementPolicy::Settings.
+        std::size_t sampleSize = 0;
+        double spread = PlacementPolicy::Settings().spread;
         /// Routes whose index is kept.
         std::size_t maximumRoutes = 2048;
     };
--- a/Tests/LibRouting/PlacementReplay.h
+++ b/Tests/LibRouting/PlacementReplay.h
@@ -31,6 +31,11 @@
         bool isTargetKept = false;
         /// Proxies leave out upstreams that have just declined.
         bool hasDeclineMemory = false;
+        /// See PlacementPolicy::Settings.
+        std::size_t sampleSize = 0;
+        double spread = PlacementPolicy::Settings().spread;
+        /// Added for reports on their way.
+        Duration reportDelay {0};
     };
 
     struct Result
@@ -48,6 +53,24 @@
         {
             return offers - fasterElsewhere - runs;
         }
+        /// Sums over all arrivals: the largest number of requests at one gate over the mean, and whether one gate had a full queue
+        /// while another had a free slot.
+        double largestOverMean = 0;
+        std::size_t unevenArrivals = 0;
+        std::vector<Duration> waits;
+        double meanLargestOverMean() const
+        {
+            return largestOverMean / static_cast<double>(requests);
+        }
+        double unevenShare() const
+        {
+            return static_cast<double>(unevenArrivals) / static_cast<double>(requests);
+        }
+        Duration wait(double quantile)
+        {
+            std::sort(waits.begin(), waits.end());
+            return waits.empty() ? Duration(0) : waits[static_cast<std::size_t>(quantile * static_cast<double>(waits.size() - 1))];
+        }
         /// Offers in a second to the gate that had most.
         std::size_t mostOffersInSecond = 0;
         double shareInTarget() const
@@ -71,7 +94,10 @@
         rules.targetLatency = load.target;
         m_route = RoutingFixture::route(std::move(endpoints), rules);
         for (std::size_t proxy = 0; proxy < load.proxies; ++proxy) {
-            m_proxies.push_back(std::make_unique<RoutingFixture>(seed * 1000 + proxy));
+            UpstreamSelector::Settings settings {"dc-a", "region-a"};
+            settings.sampleSize = load.sampleSize;
+            settings.spread = load.spread;
+            m_proxies.push_back(std::make_unique<RoutingFixture>(seed * 1000 + proxy, RoutingState::Settings(), settings));
             m_proxies.back()->state.setProxyCount(load.proxies);
         }
     }
@@ -160,6 +186,7 @@
         const std::size_t number = m_requests.size();
         m_requests.push_back({m_random.below(m_load.proxies), m_now, Duration(0)});
         ++m_result.requests;
+        noteEvenness();
         RoutingFixture &proxy = *m_proxies[m_requests.back().proxy];
         std::vector<std::string> excluded = heldOff(proxy);
         for (int offer = 1; offer <= Offers; ++offer) {
@@ -204,6 +231,20 @@
         }
         return ids;
     }
+    void noteEvenness()
+    {
+        std::size_t most = 0;
+        std::size_t sum = 0;
+        bool isOneFree = false;
+        for (const Gate &gate : m_gates) {
+            const std::size_t held = gate.running + gate.queue.size();
+            most = std::max(most, held);
+            sum += held;
+            isOneFree = isOneFree || gate.running < m_load.slots;
+        }
+        m_result.largestOverMean += sum == 0 ? 1 : static_cast<double>(most * m_gates.size()) / static_cast<double>(sum);
+        m_result.unevenArrivals += isOneFree && most >= 2 * m_load.slots ? 1 : 0;
+    }
     void countOffer(Gate &gate)
     {
         const auto second = static_cast<std::size_t>(m_now / std::chrono::seconds(1));
@@ -221,6 +262,7 @@
             ++gate.running;
             m_requests[number].startedAt = m_now;
             m_result.waited += m_now - m_requests[number].arrivedAt;
+            m_result.waits.push_back(m_now - m_requests[number].arrivedAt);
             schedule({m_now + drawWork(upstream), Event::Kind::End, upstream, number});
         }
     }
--- a/Tests/LibRouting/RoutingFixture.h
+++ b/Tests/LibRouting/RoutingFixture.h
@@ -9,8 +9,10 @@
 /// Routing objects on a manual clock, with endpoints "u0", "u1", ... of service "desk".
 struct RoutingFixture
 {
-    explicit RoutingFixture(std::uint64_t seed, const RoutingState::Settings &settings = {})
-        : random(seed), state(settings, clock, random), selector({"dc-a", "region-a"}, state, random)
+    explicit RoutingFixture(std::uint64_t seed,
+        const RoutingState::Settings &settings = {},
+        const UpstreamSelector::Settings &selectorSettings = {"dc-a", "region-a"})
+        : random(seed), state(settings, clock, random), selector(selectorSettings, state, random)
     { }
 
     static std::shared_ptr<const Endpoint> endpoint(
--- a/Tests/LibRouting/TestPlacementReplay.cpp
+++ b/Tests/LibRouting/TestPlacementReplay.cpp
@@ -9,6 +9,7 @@
 {
     CPPUNIT_TEST_SUITE(TestPlacementReplay);
     CPPUNIT_TEST(testFleetNearCapacity);
+    CPPUNIT_TEST(testManyProxiesWithOldReports);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against proxies that take an upstream for idle because its last report is old. In a fleet each pair of proxy
@@ -50,6 +51,52 @@
             }
         }
     }
+
+    // Guards against many proxies that choose the same upstream at the same moment: 100 proxies and 30 uneven upstreams, of
+    // which each proxy hears only by the answers to its own requests.
+    void testManyProxiesWithOldReports()
+    {
+        struct Case
+        {
+            std::string name;
+            double utilization;
+            int workMs;
+            int targetMs;
+            std::vector<double> speeds;
+        };
+        const std::vector<Case> cases {
+            {"70 ms, 50%", 0.5, 70, 300, {0.5, 1, 1, 1.5}},
+            {"70 ms, 80%", 0.8, 70, 300, {0.5, 1, 1, 1.5}},
+            {"70 ms, 105%", 1.05, 70, 300, {0.5, 1, 1, 1.5}},
+            {"170 ms, 80%", 0.8, 170, 1000, {0.7, 0.7, 1.6}},
+            {"28 ms, 80%", 0.8, 28, 150, {0.6, 1, 1.4}},
+        };
+        for (const Case &item : cases) {
+            for (const auto &[sampleSize, spread] : std::vector<std::pair<std::size_t, double>> {
+                     {0, 0.1}, {0, 0.3}, {0, 0.6}, {0, 1}, {2, 0.1}, {4, 0.1}, {8, 0.1}, {8, 0.5}, {15, 0.1}}) {
+                PlacementReplay::Load load;
+                load.proxies = 100;
+                load.upstreams = 30;
+                load.slots = 4;
+                load.work = std::chrono::milliseconds(item.workMs);
+                load.target = std::chrono::milliseconds(item.targetMs);
+                load.speeds = item.speeds;
+                load.isTargetKept = true;
+                load.hasDeclineMemory = true;
+                load.sampleSize = sampleSize;
+                load.spread = spread;
+                const double capacity = static_cast<double>(load.upstreams * load.slots) / std::chrono::duration<double>(load.work).count();
+                load.requestsPerSecond = item.utilization * capacity;
+                PlacementReplay::Result result = PlacementReplay(load, 1).run(true);
+                std::cout << '\n'
+                          << item.name << ", sample " << sampleSize << ", spread " << spread << ": in target " << result.shareInTarget()
+                          << ", largest over mean " << result.meanLargestOverMean() << ", uneven " << result.unevenShare() << ", wait p50 "
+                          << result.wait(0.5).count() / 1000 << " p99 " << result.wait(0.99).count() / 1000 << " ms, offers a run "
+                          << static_cast<double>(result.offers) / static_cast<double>(result.runs) << ", most offers "
+                          << result.mostOffersInSecond;
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestPlacementReplay);
