--- a/Libraries/LibHttp/HttpParser.cpp
+++ b/Libraries/LibHttp/HttpParser.cpp
@@ -101,6 +101,12 @@
 constexpr std::size_t FieldBytes = 96;
 /// An empty buffer keeps no more memory than this for the next bytes.
 constexpr std::size_t KeptBufferBytes = 4096;
+/// An empty text keeps little or nothing.
+std::size_t memoryOf(const std::string &text)
+{
+    return text.empty() ? 0 : text.capacity();
+}
+
 constexpr std::string_view EndOfHead = "\r\n\r\n";
 
 struct HttpParser::State
@@ -352,11 +358,11 @@
             if constexpr (std::is_same_v<std::decay_t<decltype(parser)>, std::monostate>) {
                 return 0;
             } else {
-                return parser.get().body().capacity();
+                return memoryOf(parser.get().body());
             }
         },
         m_state->parser);
-    return bodyBytes + m_state->headMemory + m_state->input.capacity();
+    return bodyBytes + m_state->headMemory + memoryOf(m_state->input);
 }
 
 void HttpParser::discard()
--- a/Libraries/LibProxy/OperatorChangeParser.cpp
+++ b/Libraries/LibProxy/OperatorChangeParser.cpp
@@ -19,7 +19,7 @@
     }
     const std::optional<ObjectKind> parsedKind = objectKindFromName(kind);
     if (!parsedKind) {
-        return Error {ErrorCode::OperatorRequestMalformed, path + ".kind: must be service, upstream or selector"};
+        return Error {ErrorCode::OperatorRequestMalformed, path + ".kind: must be service, upstream, selector or workspace"};
     }
     name.kind = *parsedKind;
     return name;
--- a/Libraries/LibProxy/WorkspaceQuotas.cpp
+++ b/Libraries/LibProxy/WorkspaceQuotas.cpp
@@ -39,7 +39,7 @@
     m_isInUse = std::any_of(workspaces.begin(), workspaces.end(), [](const auto &workspace) { return workspace->hasQuota(); });
 }
 
-FleetTopicHandlers WorkspaceQuotas::topic(std::function<void(std::vector<AllowanceDecision>)> onDecisions)
+FleetTopicHandlers WorkspaceQuotas::topic(const std::function<void(std::vector<AllowanceDecision>)> &onDecisions)
 {
     FleetTopicHandlers handlers;
     handlers.topic = FleetTopic::Allowances;
--- a/Libraries/LibProxy/WorkspaceQuotas.h
+++ b/Libraries/LibProxy/WorkspaceQuotas.h
@@ -27,7 +27,7 @@
     }
 
     /// \a onDecisions gets what became of requests that waited for tokens.
-    FleetTopicHandlers topic(std::function<void(std::vector<AllowanceDecision>)> onDecisions);
+    FleetTopicHandlers topic(const std::function<void(std::vector<AllowanceDecision>)> &onDecisions);
 
 private:
     std::string report();
--- a/Libraries/LibRequest/RequestCoordinator.cpp
+++ b/Libraries/LibRequest/RequestCoordinator.cpp
@@ -68,7 +68,9 @@
 static std::uint64_t memoryOf(const CallerRequest &request)
 {
     constexpr std::uint64_t FieldBytes = 128;
-    std::uint64_t bytes = request.path.size() + request.body.size();
+    // A short path is part of the request itself.
+    constexpr std::uint64_t InlineBytes = 15;
+    std::uint64_t bytes = request.body.size() + (request.path.size() > InlineBytes ? request.path.size() : 0);
     for (const auto &[name, value] : request.headers) {
         bytes += name.size() + value.size() + FieldBytes;
     }
--- a/Libraries/LibRollout/RolloutJudgement.cpp
+++ b/Libraries/LibRollout/RolloutJudgement.cpp
@@ -36,10 +36,19 @@
         && shareOf(slow, runs.newVersion.timed()) >= shareOf(runs.oldVersion.timedFrom(slowFrom), runs.oldVersion.timed()) + SlownessMargin;
 }
 
+static std::string describeFailures(const RunCounts &counts)
+{
+    std::string text = "failures: ";
+    text += std::to_string(counts.failures);
+    text += " of ";
+    text += std::to_string(counts.runs);
+    return text;
+}
+
 static std::string faultOf(const VersionRuns &runs)
 {
     if (hasFailures(runs)) {
-        return "failures: " + std::to_string(runs.newVersion.failures) + " of " + std::to_string(runs.newVersion.runs);
+        return describeFailures(runs.newVersion);
     }
     return isSlow(runs) ? "slow answers" : "";
 }
@@ -57,7 +66,7 @@
     }
     // The times of routes differ, so that only failures can be compared in the sum.
     if (hasFailures(all)) {
-        return {true, "all routes: failures: " + std::to_string(all.newVersion.failures) + " of " + std::to_string(all.newVersion.runs)};
+        return {true, "all routes: " + describeFailures(all.newVersion)};
     }
     return {};
 }
--- a/Utilities/fuchsiactl/ObjectSet.cpp
+++ b/Utilities/fuchsiactl/ObjectSet.cpp
@@ -35,7 +35,10 @@
                 list.push_back(object);
             }
         }
-        document[std::string(info.list)] = std::move(list);
+        // Proxies of earlier versions know no workspaces.
+        if (info.kind != ObjectKind::Workspace || !list.empty()) {
+            document[std::string(info.list)] = std::move(list);
+        }
     }
     return document;
 }
