--- a/Libraries/LibRollout/RolloutJudgement.cpp
+++ b/Libraries/LibRollout/RolloutJudgement.cpp
@@ -59,7 +59,10 @@
     for (const auto &[selector, runs] : routes) {
         const std::string fault = faultOf(runs);
         if (!fault.empty()) {
-            return {true, selector + ": " + fault};
+            std::string reason = selector;
+            reason += ": ";
+            reason += fault;
+            return {true, reason};
         }
         all.oldVersion += runs.oldVersion;
         all.newVersion += runs.newVersion;
--- a/Tests/platform/TestPlatformCodecs.cpp
+++ b/Tests/platform/TestPlatformCodecs.cpp
@@ -3,6 +3,7 @@
 #include <platform/AnnouncementCodec.h>
 #include <platform/CallCodec.h>
 #include <platform/DocumentCodec.h>
+#include <platform/RolloutCodec.h>
 #include <platform/StoreCodec.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -21,6 +22,8 @@
     CPPUNIT_TEST_SUITE(TestPlatformCodecs);
     CPPUNIT_TEST(testHeartbeats);
     CPPUNIT_TEST(testDocuments);
+    CPPUNIT_TEST(testTenants);
+    CPPUNIT_TEST(testRollouts);
     CPPUNIT_TEST(testValuesWithoutAnUpperBound);
     CPPUNIT_TEST(testWeightsKeepTheirRatios);
     CPPUNIT_TEST(testLongDeadlines);
@@ -100,6 +103,76 @@
             + R"(],"limits":{"maxHeaderBytes":2000,"maxBodyBytes":3000,"headerTimeoutMs":4000,"idleTimeoutMs":5000}})";
     }
 
+    // Guards against tenants that are read with another key, limit or priority, and against documents without any.
+    void testTenants()
+    {
+        const std::string route = R"({"name":"a","host":"h","prefix":"/a/","routeType":"idempotent","timeoutMs":1500,)"
+                                  R"("priority":1,"service":"desk","attempts":2,"public":true})";
+        const auto withTenants = [&](const std::string &tenants) {
+            std::string text = document(route);
+            return text.insert(text.size() - 1, ",\"tenants\":" + tenants);
+        };
+        struct Case
+        {
+            std::string tenants;
+            std::size_t count;
+        };
+        const std::vector<Case> cases {
+            {R"([{"name":"north","apiKeys":["k1","k2","k1"],"priority":0,"ratePerS":1.5,"burst":7},{"name":"south","apiKeys":[]}])", 2},
+            {R"({"columns":["name","apiKeys","priority","ratePerS","burst"],"rows":[["north",["k1","k2"],0,1.5,7],["south",[],null,0,null]]})",
+                2},
+            {R"([])", 0},
+        };
+        for (const Case &item : cases) {
+            const Result<ConfigurationDocument> read = tryReadDocument(withTenants(item.tenants));
+            CPPUNIT_ASSERT_MESSAGE(item.tenants, !isError(read));
+            std::map<std::string, Workspace> workspaces;
+            for (const DeclaredObject &object : valueOf(read).objects) {
+                if (const auto *workspace = std::get_if<Workspace>(&object)) {
+                    workspaces[workspace->name] = *workspace;
+                } else if (const auto *selector = std::get_if<Selector>(&object)) {
+                    CPPUNIT_ASSERT(selector->rules.isPublic);
+                    // The tenant's priority of 0 is more urgent than the route's of 1.
+                    CPPUNIT_ASSERT(selector->rules.priority == (item.count > 0 ? RequestPriority::Normal : RequestPriority::High));
+                }
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(item.tenants, item.count, workspaces.size());
+            if (item.count > 0) {
+                const Workspace &north = workspaces.at("north");
+                CPPUNIT_ASSERT(north.keys.size() == 2 && north.milliRequestsPerSecond == 1500 && north.burst == 7);
+                CPPUNIT_ASSERT(north.priority == RequestPriority::High);
+                CPPUNIT_ASSERT(std::find(north.keys.begin(), north.keys.end(), keyDigest("k2")) != north.keys.end());
+                CPPUNIT_ASSERT(!workspaces.at("south").hasQuota() && !workspaces.at("south").priority);
+            }
+        }
+        for (const std::string tenants : {R"([{"apiKeys":["k1"]}])", R"([{"name":"north","priority":-1}])", R"(7)"}) {
+            CPPUNIT_ASSERT_MESSAGE(tenants, isError(tryReadDocument(withTenants(tenants))));
+        }
+    }
+
+    // Guards against an order that is taken for another one, and against a status that belongs to an earlier order.
+    void testRollouts()
+    {
+        const RolloutProtocol protocol = rolloutProtocol();
+        const auto order = protocol.tryReadOrder({"op/rollout/desk", 10, R"({"service":"desk","target":"v2","durationS":12})"});
+        CPPUNIT_ASSERT(!isError(order));
+        CPPUNIT_ASSERT(valueOf(order) == (RolloutOrder {"desk", "v2", std::chrono::seconds(12), 10}));
+        for (const std::string text :
+            {"", "{}", R"({"service":"desk","target":"v2"})", R"({"service":"desk","target":2,"durationS":12})"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, isError(protocol.tryReadOrder({"op/rollout/desk", 10, text})));
+        }
+        for (const RolloutStatus status : {RolloutStatus::Running, RolloutStatus::Completed, RolloutStatus::RolledBack}) {
+            const std::string text = protocol.formatStatus(valueOf(order), status);
+            CPPUNIT_ASSERT(protocol.readStatus({"status/rollout/desk", 11, text}, valueOf(order)) == status);
+            CPPUNIT_ASSERT(!protocol.readStatus({"status/rollout/desk", 9, text}, valueOf(order)));
+            RolloutOrder other = valueOf(order);
+            other.target = "v3";
+            CPPUNIT_ASSERT(!protocol.readStatus({"status/rollout/desk", 11, text}, other));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"service":"desk","state":"rolled_back","target":"v2"})"),
+            protocol.formatStatus(valueOf(order), RolloutStatus::RolledBack));
+    }
+
     // Guards against documents that are taken in part, and against routes that are read with another meaning.
     void testDocuments()
     {
