Allow request bodies of 1 MiB

A request travels between proxies in one frame, and frames of 1 MiB left 768 KiB for its body: a single call of legal size was answered 413. Frames hold 2 MiB now. Proxies that read frames of 1 MiB only close the connection on a longer one, as the protocol version in Hello already keeps them apart.

--- a/Libraries/LibProxy/ProxySettings.cpp
+++ b/Libraries/LibProxy/ProxySettings.cpp
@@ -261,7 +261,7 @@
 
     void parseLimits(JsonObjectReader &parent, LimitSettings &limits)
     {
-        constexpr std::int64_t MaximumRequestBodyBytes = 1000 * 1024; // A request travels in one frame of 1 MiB with its headers.
+        constexpr std::int64_t MaximumRequestBodyBytes = 1536 * 1024; // A request travels in one frame of 2 MiB with its header fields.
         constexpr std::int64_t MaximumAnswerBodyBytes = 256 * 1024 * 1024;
         constexpr double MaximumGraceSeconds = 600;
         constexpr double MaximumMemoryMegabytes = 1e6;
--- a/Libraries/LibProxy/ProxySettings.h
+++ b/Libraries/LibProxy/ProxySettings.h
@@ -82,7 +82,7 @@
 
 struct LimitSettings
 {
-    std::uint64_t requestBodyBytes = 768 * 1024;
+    std::uint64_t requestBodyBytes = 1024 * 1024;
     std::uint64_t answerBodyBytes = 16 * 1024 * 1024;
     /// Bytes that each of these may keep: answers that the upstream is writing, answers on their way to other proxies,
     /// requests and answers of own callers, and answers that own callers have not read.
--- a/Libraries/LibRequest/RequestCoordinator.h
+++ b/Libraries/LibRequest/RequestCoordinator.h
@@ -28,9 +28,9 @@
         /// ends.
         std::uint64_t maximumBufferedBytes = 64ULL * 1024 * 1024;
         /// A request travels in one frame of at most 1 MiB together with its headers.
-        std::size_t maximumRequestBytes = 768ULL * 1024;
+        std::size_t maximumRequestBytes = 1024ULL * 1024;
         /// Path and header fields; the rest of a frame has room for them beside a body of maximumRequestBytes.
-        std::size_t maximumRequestHeadBytes = 240ULL * 1024;
+        std::size_t maximumRequestHeadBytes = 1008ULL * 1024;
         std::uint64_t maximumAnswerBytes = 16ULL * 1024 * 1024;
         /// The upstream side gets this much less time, so that its word on a queued request arrives in time.
         Duration answerMargin = std::chrono::milliseconds(5);
--- a/Libraries/LibWire/FrameCodec.h
+++ b/Libraries/LibWire/FrameCodec.h
@@ -9,8 +9,8 @@
 
 namespace Fuchsiastep {
 
-/// Longest frame body in bytes.
-constexpr std::size_t MaximumFrameBytes = 1024 * 1024;
+/// Longest frame body in bytes. A request travels in one frame, with a body of up to 1 MiB and its header fields.
+constexpr std::size_t MaximumFrameBytes = 2 * 1024 * 1024;
 /// Length prefix of a frame in bytes, big-endian.
 constexpr std::size_t FrameHeaderBytes = 4;
 
--- a/Tests/LibConfiguration/TestWorkspaces.cpp
+++ b/Tests/LibConfiguration/TestWorkspaces.cpp
@@ -72,6 +72,7 @@
         std::vector<DeclaredObject> objects;
         for (int number = 0; number < Workspaces; ++number) {
             std::vector<std::string> keys;
+            keys.reserve(KeysEach);
             for (int key = 0; key < KeysEach; ++key) {
                 keys.push_back("key-" + std::to_string(number) + '-' + std::to_string(key));
             }
--- a/Tests/LibRequest/TestRequestCoordinator.cpp
+++ b/Tests/LibRequest/TestRequestCoordinator.cpp
@@ -215,7 +215,7 @@
     {
         Fixture fixture;
         fixture.send("POST", "");
-        fixture.send("GET", "", std::string(1024 * 1024, 'x'));
+        fixture.send("GET", "", std::string(RequestCoordinator::Settings().maximumRequestBytes + 1, 'x'));
         fixture.route = std::make_shared<const Route>(Route {fixture.route->selector, {}});
         fixture.send("GET", "");
         fixture.route = nullptr;
