--- a/Tests/LibProxy/TestPeerLinks.cpp
+++ b/Tests/LibProxy/TestPeerLinks.cpp
@@ -177,7 +177,7 @@
             {"garbage", std::string("\0\0\0\4\xc1\xc1\xc1\xc1", 8)},
             {"text of another protocol", "GET / HTTP/1.1\r\n\r\n"},
             {"frame too long", std::string("\x7f\xff\xff\xff", 4)},
-            {"one byte above the limit", std::string("\0\x10\0\1", 4)},
+            {"one byte above the limit", std::string("\0\x20\0\1", 4)},
             {"empty body", std::string("\0\0\0\0", 4)},
             {"garbage behind Hello", hello + std::string("\0\0\0\1\xc1", 5)},
             {"unknown type behind Hello", hello + std::string("\0\0\0\2\x91\x7f", 6)},
--- a/Tests/LibProxy/TestProxySettings.cpp
+++ b/Tests/LibProxy/TestProxySettings.cpp
@@ -153,7 +153,7 @@
             {complete(R"("distribution":{"fan_out":65})"), ErrorCode::SettingsOutOfRange, "$.distribution.fan_out"},
             {complete(R"("membership":{"probe_ms":49})"), ErrorCode::SettingsOutOfRange, "$.membership.probe_ms"},
             {complete(R"("membership":{"probe_ms":300})"), ErrorCode::SettingsOutOfRange, "$.membership.probe_timeout_ms"},
-            {complete(R"("limits":{"request_body_bytes":1024001})"), ErrorCode::SettingsOutOfRange, "$.limits.request_body_bytes"},
+            {complete(R"("limits":{"request_body_bytes":1572865})"), ErrorCode::SettingsOutOfRange, "$.limits.request_body_bytes"},
             {complete(R"("limits":{"answer_body_bytes":1023})"), ErrorCode::SettingsOutOfRange, "$.limits.answer_body_bytes"},
             {complete(R"("limits":{"requests_in_flight":0})"), ErrorCode::SettingsOutOfRange, "$.limits.requests_in_flight"},
             {complete(R"("limits":{"queue_per_slot":1001})"), ErrorCode::SettingsOutOfRange, "$.limits.queue_per_slot"},
