--- a/review/lab-2/lab2.py
+++ b/review/lab-2/lab2.py
@@ -49,6 +49,8 @@
         return time.monotonic() - self.start
 
     def write(self, event, **fields):
+        if self.file.closed:
+            return
         self.file.write(json.dumps({"at_s": round(self.now(), 4), "event": event, **fields}) + "\n")
 
     def close(self):
@@ -170,7 +172,7 @@
     async def answer(self, message):
         from urllib.parse import parse_qs, urlsplit
 
-        method, target, _ = message.line.split(" ")
+        _, target, _ = message.line.split(" ")
         url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()}
         if url.path == "/-/rows-get":
