Hold an acknowledged departure in the member records of other proxies

Callers saw: after an upstream was deregistered, and the proxy beside it had been killed and started again, other proxies sent requests to the upstream from the moment at which a late announcement arrived (4.5 s after the acknowledgement) until its silence ended it. An upstream at the end of its drain may end at any moment, with these requests.

Cause: the acknowledgement binds the instance, and only the memory of one process held it. A new process took the first announcement that came for news.

Change: the member record names the last departed start, stamped with the incarnation and sequence of the member. Tables keep the later departure whichever record it came with, so that the first records of a restarted process do not remove it. A departure is acknowledged once two other members have answered a probe that carried it, or after 500 ms. A departure of a newer start than the one that is known is no longer ignored.

Why it works: the proxy beside an upstream is the only way in to it, so that it is enough that this process knows, and its peers survive it.

--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -76,6 +76,8 @@
     SuspectChanged = 6018,
     UpstreamAnswerTooLarge = 6019,
     CallerDoesNotRead = 6020,
+    AnnouncementHeld = 6021,
+    DepartureLearned = 6022,
     RolloutPhaseChanged = 6420,
     RolloutOrderRejected = 6421,
     RequestGivenUp = 6430,
--- a/Libraries/LibMembership/FailureDetector.cpp
+++ b/Libraries/LibMembership/FailureDetector.cpp
@@ -52,6 +52,7 @@
     runProbes();
     runIsolation();
     runSuspicions();
+    runDepartureHandover();
     if (m_clock.now() >= m_nextProbe) {
         m_nextProbe = m_clock.now() + m_settings.probePeriod;
         probeNext();
@@ -77,6 +78,9 @@
     for (const auto &[id, suspicion] : m_suspicions) {
         next = std::min(next, suspicion.deadline());
     }
+    if (m_departureHandover) {
+        next = std::min(next, m_departureHandover->nextPing);
+    }
     return std::min(next, m_isolation.nextDeadline().value_or(next));
 }
 
@@ -110,13 +114,28 @@
     record.endpoint = change.endpoint;
     completeEndpoint(record);
     ++record.sequence;
-    const std::size_t bytes = encodeMemberRecord(record).size();
-    if (bytes > MaximumRecordBytes) {
-        m_outputs.emplace_back(OwnRecordRejected {
-            Error {ErrorCode::DatagramTooLong, "member record of " + record.proxyId + ": " + std::to_string(bytes) + " bytes"}});
+    if (record.departed && encodeMemberRecord(record).size() > MaximumRecordBytes) {
+        // The upstream that serves goes before the one that has left.
+        record.departed = DepartedUpstream {{}, std::nullopt, record.incarnation, record.sequence};
+    }
+    if (fitsProbe(record)) {
+        changeOwnRecord(std::move(record));
+    }
+}
+
+void FailureDetector::accept(const UpstreamDeparted &departure)
+{
+    MemberRecord record = m_table.self();
+    ++record.sequence;
+    record.departed = DepartedUpstream {departure.upstreamId, departure.startedUnixMs, record.incarnation, record.sequence};
+    if (!fitsProbe(record)) {
         return;
     }
-    changeOwnRecord(std::move(record));
+    m_isDepartureOwn = true;
+    mergeAndGossip(MemberUpdate {std::move(record), {}});
+    const TimePoint now = m_clock.now();
+    m_departureHandover = DepartureHandover {now + m_settings.departureLimit, now, {}, {}};
+    runDepartureHandover();
 }
 
 void FailureDetector::accept(const LeaveRequested &)
@@ -184,6 +203,7 @@
 void FailureDetector::acceptAck(const Ack &ack)
 {
     m_isolation.answered(ack.sequence);
+    noteDepartureHolder(ack);
     const auto pending = m_pending.find(ack.sequence);
     if (pending != m_pending.end() && pending->second.targetId == ack.subjectId) {
         m_pending.erase(pending);
@@ -226,6 +246,7 @@
 
 void FailureDetector::refuteIfAccused(const MemberRecord &record)
 {
+    learnOwnDeparture(record);
     MemberRecord self = m_table.self();
     if (self.state == MemberState::Left || !supersedes(record, self)) {
         return;
@@ -234,16 +255,81 @@
     changeOwnRecord(std::move(self));
 }
 
+void FailureDetector::learnOwnDeparture(const MemberRecord &record)
+{
+    MemberRecord self = m_table.self();
+    if (!isLaterDeparture(record.departed, self.departed)) {
+        return;
+    }
+    if (m_isDepartureOwn) {
+        // An earlier process acknowledged the other departure while the clock of this instance was ahead.
+        self.departed->incarnation = record.departed->incarnation + 1;
+    } else {
+        self.departed = record.departed;
+        m_outputs.emplace_back(DepartureLearned {*record.departed});
+    }
+    changeOwnRecord(std::move(self));
+}
+
+void FailureDetector::runDepartureHandover()
+{
+    if (!m_departureHandover || m_clock.now() < m_departureHandover->nextPing) {
+        return;
+    }
+    if (m_table.livePeers().empty()) {
+        m_departureHandover.reset();
+        m_outputs.emplace_back(DepartureHeld {});
+        return;
+    }
+    // Later members learn of it by gossip.
+    if (m_clock.now() >= m_departureHandover->end) {
+        m_departureHandover.reset();
+        return;
+    }
+    m_departureHandover->nextPing = m_clock.now() + m_settings.departureRetry;
+    for (const MemberRecord *peer : m_schedule.sample(UrgentGossipFanOut)) {
+        m_departureHandover->pings.emplace(sendPing(*peer), peer->proxyId);
+    }
+}
+
+void FailureDetector::noteDepartureHolder(const Ack &ack)
+{
+    if (!m_departureHandover) {
+        return;
+    }
+    const auto ping = m_departureHandover->pings.find(ack.sequence);
+    if (ping == m_departureHandover->pings.end() || ping->second != ack.subjectId) {
+        return;
+    }
+    m_departureHandover->holders.insert(ack.subjectId);
+    if (m_departureHandover->holders.size() >= std::min(m_settings.departureHolders, m_table.livePeers().size())) {
+        m_departureHandover.reset();
+        m_outputs.emplace_back(DepartureHeld {});
+    }
+}
+
+bool FailureDetector::fitsProbe(const MemberRecord &record)
+{
+    const std::size_t bytes = encodeMemberRecord(record).size();
+    if (bytes <= MaximumRecordBytes) {
+        return true;
+    }
+    m_outputs.emplace_back(OwnRecordRejected {
+        Error {ErrorCode::DatagramTooLong, "member record of " + record.proxyId + ": " + std::to_string(bytes) + " bytes"}});
+    return false;
+}
+
 bool FailureDetector::mergeAndGossip(const MemberUpdate &update)
 {
     std::optional<MemberChange> change = m_table.merge(update.record);
     if (!change) {
         return false;
     }
-    if (update.record.state != MemberState::Suspect) {
+    if (change->after.state != MemberState::Suspect) {
         m_suspicions.erase(update.record.proxyId);
     }
-    m_gossip.push(update, transmissions());
+    // The record held may have a later departure than the one received.
+    m_gossip.push(MemberUpdate {change->after, update.accuser}, transmissions());
     m_outputs.emplace_back(std::move(*change));
     return true;
 }
@@ -253,7 +339,8 @@
     const std::string &id = update.record.proxyId;
     const bool isNews = mergeAndGossip(update);
     const MemberRecord *record = m_table.find(id);
-    if (!isNews && *record != update.record) {
+    if (record->incarnation != update.record.incarnation || record->sequence != update.record.sequence
+        || record->state != update.record.state) {
         return;
     }
     if (isNews) {
--- a/Libraries/LibMembership/FailureDetector.h
+++ b/Libraries/LibMembership/FailureDetector.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,15 @@
         TimePoint sentAt;
         bool isIndirectSent = false;
     };
+    /// A departure that is being handed over to other members.
+    struct DepartureHandover
+    {
+        TimePoint end;
+        TimePoint nextPing;
+        /// Pings that told of it: their sequences, and the members that they went to.
+        std::map<std::uint64_t, std::string> pings;
+        std::set<std::string> holders;
+    };
     struct Relay
     {
         SocketAddress requester;
@@ -63,6 +73,7 @@
     void accept(const MergeCrashSuspects &merge);
     void accept(const HeldVersionChanged &change);
     void accept(const OwnRecordChanged &change);
+    void accept(const UpstreamDeparted &departure);
     void accept(const LeaveRequested &request);
     void accept(const CrashSuspectRecorded &record);
     void accept(const VersionUnacknowledged &unacknowledged);
@@ -75,6 +86,11 @@
     void learn(const ProbeCargo &cargo);
     void applyUpdate(const MemberUpdate &update);
     void refuteIfAccused(const MemberRecord &record);
+    void learnOwnDeparture(const MemberRecord &record);
+    void runDepartureHandover();
+    void noteDepartureHolder(const Ack &ack);
+    /// Reports a record of this proxy that is too long for a probe.
+    bool fitsProbe(const MemberRecord &record);
     bool mergeAndGossip(const MemberUpdate &update);
     void applyAccusation(const MemberUpdate &update);
     bool learnCrashSuspect(const CrashSuspectEntry &entry);
@@ -119,6 +135,9 @@
     TimePoint m_nextGossip;
     TimePoint m_nextFailedProbe;
     std::optional<TimePoint> m_outsideReachedAt;
+    std::optional<DepartureHandover> m_departureHandover;
+    /// The departure in the own record is one that this process was told of.
+    bool m_isDepartureOwn = false;
     std::vector<FailureDetectorOutput> m_outputs;
 };
 
--- a/Libraries/LibMembership/FailureDetectorMessages.h
+++ b/Libraries/LibMembership/FailureDetectorMessages.h
@@ -36,6 +36,16 @@
     std::optional<Endpoint> endpoint;
 };
 
+/// The upstream beside this proxy leaves, and the proxy is about to acknowledge that.
+struct UpstreamDeparted
+{
+    std::string upstreamId;
+    /// Unix milliseconds of the start that leaves; nothing where it is not known.
+    std::optional<std::int64_t> startedUnixMs;
+
+    bool operator==(const UpstreamDeparted &) const = default;
+};
+
 /// The proxy stops in an orderly way.
 struct LeaveRequested
 { };
@@ -61,6 +71,7 @@
     MergeCrashSuspects,
     HeldVersionChanged,
     OwnRecordChanged,
+    UpstreamDeparted,
     LeaveRequested,
     CrashSuspectRecorded,
     VersionUnacknowledged,
@@ -94,7 +105,17 @@
     Duration length {};
 };
 
-/// An OwnRecordChanged was refused. Its code is DatagramTooLong: the announced labels do not fit a probe.
+/// Enough other members hold the last UpstreamDeparted, or there are none.
+struct DepartureHeld
+{ };
+
+/// An earlier process of this proxy acknowledged this departure; another member held it.
+struct DepartureLearned
+{
+    DepartedUpstream departed;
+};
+
+/// A change of the own record was refused. Its code is DatagramTooLong: the announced labels do not fit a probe.
 struct OwnRecordRejected
 {
     Error error;
@@ -107,6 +128,8 @@
     IsolationSuspected,
     IsolationEnded,
     FreezeDetected,
+    DepartureHeld,
+    DepartureLearned,
     OwnRecordRejected>;
 
 } // namespace Fuchsiastep
--- a/Libraries/LibMembership/FailureDetectorSettings.h
+++ b/Libraries/LibMembership/FailureDetectorSettings.h
@@ -34,6 +34,12 @@
     Duration isolationHold = std::chrono::seconds(30);
     /// How long an OutsideReached proves that this proxy is not isolated.
     Duration outsideFreshness = std::chrono::seconds(10);
+    /// Other members that hold a departure before it counts as held, or all of them where there are fewer. With two, one of
+    /// them may fail together with this proxy.
+    std::size_t departureHolders = 2;
+    /// Time between two attempts to hand a departure over, and after which the attempts end.
+    Duration departureRetry = std::chrono::milliseconds(100);
+    Duration departureLimit = std::chrono::seconds(1);
     /// Time between two probes of a member that was removed, which find it again after a partition.
     Duration failedProbePeriod = std::chrono::seconds(5);
 };
--- a/Libraries/LibMembership/MemberRecord.h
+++ b/Libraries/LibMembership/MemberRecord.h
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/Endpoint.h>
 #include <LibCore/SocketAddress.h>
+#include <LibMembership/DepartedUpstream.h>
 
 #include <cstdint>
 #include <optional>
@@ -39,6 +40,8 @@
     SocketAddress controlAddress;
     /// Bandwidth of the instance's link in Mbit/s; 0 where it is not known.
     std::uint32_t linkMbps = 0;
+    /// Outlasts the process: a record without it, or with an earlier one, does not remove it from the tables of others.
+    std::optional<DepartedUpstream> departed;
 
     bool operator==(const MemberRecord &) const = default;
 };
--- a/Libraries/LibMembership/MemberRecordCodec.cpp
+++ b/Libraries/LibMembership/MemberRecordCodec.cpp
@@ -10,6 +10,7 @@
 
 static constexpr std::size_t RecordFields = 12;
 static constexpr std::size_t EndpointFields = 7;
+static constexpr std::size_t DepartedFields = 5;
 /// Bytes of a MembershipSync content beside its records.
 static constexpr std::size_t SyncOverheadBytes = 16;
 /// Longest MembershipSync content that is read, in bytes.
@@ -50,9 +51,33 @@
     });
 }
 
+static void writeDeparted(MsgpackWriter &writer, const DepartedUpstream &departed)
+{
+    writer.beginArray(DepartedFields);
+    writer.put(std::string_view(departed.upstreamId));
+    writer.put(departed.startedUnixMs.has_value());
+    writer.put(static_cast<std::uint64_t>(departed.startedUnixMs.value_or(0)));
+    writer.put(departed.incarnation);
+    writer.put(departed.sequence);
+}
+
+static DepartedUpstream takeDeparted(MsgpackReader &reader)
+{
+    constexpr std::uint64_t MaximumStart = std::numeric_limits<std::int64_t>::max();
+    DepartedUpstream departed;
+    departed.upstreamId = reader.takeString();
+    const bool hasStart = reader.takeBool();
+    const auto startedUnixMs = static_cast<std::int64_t>(reader.takeUnsigned(MaximumStart));
+    departed.startedUnixMs = hasStart ? std::optional(startedUnixMs) : std::nullopt;
+    departed.incarnation = reader.takeUnsigned();
+    departed.sequence = reader.takeUnsigned();
+    return departed;
+}
+
 void writeRecord(MsgpackWriter &writer, const MemberRecord &record)
 {
-    writer.beginArray(RecordFields);
+    // Proxies of earlier versions refuse a record with an additional field, so that it is only written where it says something.
+    writer.beginArray(RecordFields + (record.departed ? 1 : 0));
     writer.put(std::string_view(record.proxyId));
     writer.put(record.incarnation);
     writer.put(record.sequence);
@@ -66,6 +91,9 @@
     writer.put(std::string_view(record.region));
     writer.put(std::uint64_t {record.linkMbps});
     writeEndpoint(writer, record);
+    if (record.departed) {
+        writeDeparted(writer, *record.departed);
+    }
 }
 
 MemberRecord takeRecord(MsgpackReader &reader)
@@ -87,6 +115,9 @@
         record.region = fields.takeString();
         record.linkMbps = static_cast<std::uint32_t>(fields.takeUnsigned(std::numeric_limits<std::uint32_t>::max()));
         takeEndpoint(fields, record);
+        if (fields.hasMore()) {
+            record.departed = fields.takeNested(takeDeparted);
+        }
     });
     return record;
 }
--- a/Libraries/LibMembership/MembershipTable.cpp
+++ b/Libraries/LibMembership/MembershipTable.cpp
@@ -21,12 +21,21 @@
     return m_entries.find(m_selfId)->second.record;
 }
 
-std::optional<MemberChange> MembershipTable::merge(const MemberRecord &record)
+std::optional<MemberChange> MembershipTable::merge(MemberRecord record)
 {
     const auto found = m_entries.find(record.proxyId);
     const bool isKnown = found != m_entries.end();
-    if (isKnown && !supersedes(record, found->second.record)) {
-        return std::nullopt;
+    if (isKnown) {
+        const MemberRecord &current = found->second.record;
+        const bool isNewDeparture = isLaterDeparture(record.departed, current.departed);
+        const std::optional<DepartedUpstream> departed = isNewDeparture ? record.departed : current.departed;
+        if (!supersedes(record, current)) {
+            if (!isNewDeparture) {
+                return std::nullopt;
+            }
+            record = current;
+        }
+        record.departed = departed;
     }
     MemberChange change {isKnown ? std::optional(found->second.record) : std::nullopt, record};
     if (isKnown) {
--- a/Libraries/LibMembership/MembershipTable.h
+++ b/Libraries/LibMembership/MembershipTable.h
@@ -27,8 +27,9 @@
 
     const MemberRecord &self() const;
 
-    /// Stores \a record where it supersedes the one held, and reports that; nothing where it does not.
-    std::optional<MemberChange> merge(const MemberRecord &record);
+    /// Stores \a record where it supersedes the one held, and reports that; nothing where it does not. The later departure of
+    /// the two is kept in each case, and reported where it is news.
+    std::optional<MemberChange> merge(MemberRecord record);
     /// Forgets the members that left or failed longer than the tombstone time ago.
     void expireTombstones();
 
--- /dev/null
+++ b/Libraries/LibProxy/AnnouncementHold.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibProxy/UpstreamAnnouncement.h>
+
+#include <optional>
+
+namespace Fuchsiastep {
+
+/// Holds announcements back while a starting proxy does not know which departures its earlier processes acknowledged. One
+/// announcement may have been sent before such a departure and arrive late. An upstream that serves keeps announcing itself,
+/// so that a second announcement of the same start, an interval later, is believed without that knowledge.
+class AnnouncementHold
+{
+public:
+    /// \a interval is the time between two announcements of an upstream.
+    explicit AnnouncementHold(Duration interval);
+
+    /// False where \a announcement is held back. An announcement that cannot be late, or that says that the upstream leaves,
+    /// never is.
+    bool mayPass(const UpstreamAnnouncement &announcement, TimePoint now);
+
+    /// The departures are known. Returns the announcement that is held, and holds back no other.
+    std::optional<UpstreamAnnouncement> release();
+
+private:
+    bool isConfirmed(const UpstreamAnnouncement &announcement, TimePoint now) const;
+
+    Duration m_interval;
+    bool m_isReleased = false;
+    /// The latest announcement that is held, and when the first one of its start arrived.
+    std::optional<UpstreamAnnouncement> m_held;
+    TimePoint m_firstHeldAt;
+};
+
+} // namespace Fuchsiastep
--- a/Libraries/LibProxy/AnnouncementOrder.cpp
+++ b/Libraries/LibProxy/AnnouncementOrder.cpp
@@ -49,6 +49,11 @@
         m_current = Start {upstreamId, lifetime, true};
         return true;
     }
+    if (lifetime && m_current->lifetime && lifetime->startedUnixMs > m_current->lifetime->startedUnixMs) {
+        // No announcement of the start that leaves has arrived, and the current one is older.
+        m_current = Start {upstreamId, lifetime, true};
+        return true;
+    }
     const bool isOtherStart = lifetime && m_current->lifetime && lifetime->startedUnixMs != m_current->lifetime->startedUnixMs;
     if (m_current->upstreamId != upstreamId || isOtherStart) {
         return false;
--- a/Libraries/LibProxy/MembershipTask.cpp
+++ b/Libraries/LibProxy/MembershipTask.cpp
@@ -105,6 +105,11 @@
     run(m_detector.handle(change));
 }
 
+void MembershipTask::handle(const UpstreamDeparted &departure)
+{
+    run(m_detector.handle(departure));
+}
+
 void MembershipTask::handle(const LeaveRequested &request)
 {
     run(m_detector.handle(request));
@@ -183,6 +188,8 @@
                            logEvent(LogEvent::FreezeDetected, {{"microseconds", freeze.length.count()}});
                            m_onEvent(freeze);
                        },
+                       [this](const DepartureHeld &held) { m_onEvent(held); },
+                       [this](const DepartureLearned &learned) { m_onEvent(learned); },
                        [](const OwnRecordRejected &rejected) {
                            logEvent(LogEvent::OperatorRequestRejected, {{"error", describe(rejected.error)}});
                        },
--- a/Libraries/LibProxy/MembershipTask.h
+++ b/Libraries/LibProxy/MembershipTask.h
@@ -30,6 +30,7 @@
     CrashSuspectStoreReply,
     HeldVersionChanged,
     OwnRecordChanged,
+    UpstreamDeparted,
     LeaveRequested,
     CrashSuspectRecorded,
     CrashObserved,
@@ -43,7 +44,14 @@
     std::vector<std::string> removedUpstreamIds;
 };
 
-using MembershipTaskEvent = std::variant<EndpointsChanged, MemberChange, PeerVersion, CrashSuspectLearned, FreezeDetected, JoinCompleted>;
+using MembershipTaskEvent = std::variant<EndpointsChanged,
+    MemberChange,
+    PeerVersion,
+    CrashSuspectLearned,
+    FreezeDetected,
+    DepartureHeld,
+    DepartureLearned,
+    JoinCompleted>;
 
 /// Knows the live members: it owns the probe socket, the failure detector, the contacts in the platform's table and
 /// the exchange with other data centres.
@@ -80,6 +88,7 @@
     void handle(const PlatformReply &reply);
     void handle(const HeldVersionChanged &change);
     void handle(const OwnRecordChanged &change);
+    void handle(const UpstreamDeparted &departure);
     void handle(const LeaveRequested &request);
     void handle(const CrashSuspectRecorded &record);
     void handle(const CrashObserved &observed);
--- a/Libraries/LibProxy/OperatorTask.cpp
+++ b/Libraries/LibProxy/OperatorTask.cpp
@@ -4,11 +4,15 @@
 
 #include <array>
 #include <charconv>
+#include <utility>
 
 namespace Fuchsiastep {
 
 static constexpr std::uint64_t MaximumBodyBytes = 8 * 1024 * 1024; // A whole set of declarations at the target size.
 static constexpr std::uint32_t MaximumAuditEntries = 1000;
+/// A departure is acknowledged after this time even where no other member could be told. Upstreams take an acknowledgement
+/// that comes later than a second for none.
+static constexpr Duration HandOverLimit = std::chrono::milliseconds(500);
 
 static std::map<std::string, std::string> parseQuery(const std::string &query)
 {
@@ -33,14 +37,16 @@
 };
 
 OperatorTask::OperatorTask(
-    const EdgeProtocol &protocol, Duration silenceLimit, const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent)
+    const EdgeProtocol &protocol, const UpstreamSettings &upstream, const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent)
     : m_protocol(protocol)
-    , m_silenceLimit(silenceLimit)
+    , m_silenceLimit(upstream.silence())
+    , m_hold(upstream.heartbeat)
     , m_clock(clock)
     , m_metrics(metrics)
     , m_onEvent(std::move(onEvent))
     , m_server(MaximumBodyBytes, [this](HttpServerEvent event) { handleHttp(std::move(event)); })
     , m_silenceTimer(clock, [this] { m_onEvent(AnnouncementsEnded {}); })
+    , m_handOverTimer(clock, [this] { endHandOver(); })
     , m_mailbox([this](OperatorTaskMessage message) { std::visit([this](const auto &content) { handle(content); }, message); })
     , m_replies([this](const std::pair<std::uint64_t, OperatorReply> &reply) { answer(reply.first, reply.second); })
 { }
@@ -65,7 +71,7 @@
 
 void OperatorTask::post(OperatorTaskMessage message)
 {
-    m_mailbox.post(message);
+    m_mailbox.post(std::move(message));
 }
 
 void OperatorTask::handle(const ReadyChanged &change)
@@ -73,6 +79,33 @@
     m_isReady = change.isReady;
 }
 
+void OperatorTask::handle(const DepartureHeld &)
+{
+    endHandOver();
+}
+
+void OperatorTask::handle(const DepartureLearned &learned)
+{
+    const DepartedUpstream &departed = learned.departed;
+    if (departed.upstreamId.empty()) {
+        return;
+    }
+    logEvent(LogEvent::DepartureLearned, {{"upstream", departed.upstreamId}});
+    m_departed = UpstreamDeparted {departed.upstreamId, departed.startedUnixMs};
+    UpstreamDeparture departure {departed.upstreamId, std::nullopt};
+    if (departed.startedUnixMs) {
+        departure.lifetime = UpstreamLifetime {*departed.startedUnixMs, 0};
+    }
+    depart(departure);
+}
+
+void OperatorTask::handle(const DeparturesKnown &)
+{
+    if (std::optional<UpstreamAnnouncement> held = m_hold.release()) {
+        pass(std::move(*held));
+    }
+}
+
 void OperatorTask::handleHttp(HttpServerEvent event)
 {
     if (const auto *request = std::get_if<HttpRequest>(&event)) {
@@ -146,12 +179,12 @@
                           },
                           [&](UpstreamAnnouncement &announcement) {
                               take(std::move(announcement));
-                              answer(request.token, {200, JsonValue::Object {}});
+                              acknowledge(request.token);
                               return true;
                           },
                           [&](const UpstreamDeparture &departure) {
                               depart(departure);
-                              answer(request.token, {200, JsonValue::Object {}});
+                              acknowledge(request.token);
                               return true;
                           },
                           [&](const Error &error) {
@@ -163,6 +196,15 @@
 }
 
 void OperatorTask::take(UpstreamAnnouncement announcement)
+{
+    if (m_hold.mayPass(announcement, m_clock.now())) {
+        pass(std::move(announcement));
+    } else {
+        logEvent(LogEvent::AnnouncementHeld, {{"upstream", announcement.upstreamId}, {"sequence", announcement.lifetime->sequence}});
+    }
+}
+
+void OperatorTask::pass(UpstreamAnnouncement announcement)
 {
     if (!m_order.accept(announcement)) {
         logEvent(LogEvent::AnnouncementIgnored, {{"upstream", announcement.upstreamId}, {"sequence", announcement.lifetime->sequence}});
@@ -170,6 +212,10 @@
     }
     m_silenceTimer.setDeadline(m_clock.now() + m_silenceLimit);
     m_lastAnnouncement = announcement;
+    // An upstream without lifetimes keeps announcing that it leaves, also to the next process.
+    if (announcement.isDraining && announcement.lifetime) {
+        handOver({announcement.upstreamId, announcement.lifetime->startedUnixMs});
+    }
     m_onEvent(std::move(announcement));
 }
 
@@ -179,12 +225,48 @@
         logEvent(LogEvent::AnnouncementIgnored, {{"upstream", departure.upstreamId}});
         return;
     }
-    if (m_lastAnnouncement && m_lastAnnouncement->upstreamId == departure.upstreamId) {
+    UpstreamDeparted departed {departure.upstreamId, std::nullopt};
+    if (departure.lifetime) {
+        departed.startedUnixMs = departure.lifetime->startedUnixMs;
+    } else if (m_lastAnnouncement && m_lastAnnouncement->upstreamId == departure.upstreamId && m_lastAnnouncement->lifetime) {
+        departed.startedUnixMs = m_lastAnnouncement->lifetime->startedUnixMs;
+    }
+    handOver(std::move(departed));
+    // The last announcement is of the start that leaves, or of an older one.
+    if (m_lastAnnouncement && !m_lastAnnouncement->isDraining) {
         m_lastAnnouncement->isDraining = true;
         m_onEvent(*m_lastAnnouncement);
     }
 }
 
+void OperatorTask::handOver(UpstreamDeparted departed)
+{
+    if (m_departed == departed) {
+        return;
+    }
+    m_departed = departed;
+    m_isHandingOver = true;
+    m_handOverTimer.setDeadline(m_clock.now() + HandOverLimit);
+    m_onEvent(std::move(departed));
+}
+
+void OperatorTask::acknowledge(std::uint64_t token)
+{
+    m_unacknowledged.push_back(token);
+    if (!m_isHandingOver) {
+        endHandOver();
+    }
+}
+
+void OperatorTask::endHandOver()
+{
+    m_isHandingOver = false;
+    m_handOverTimer.setDeadline(std::nullopt);
+    for (const std::uint64_t token : std::exchange(m_unacknowledged, {})) {
+        answer(token, {200, JsonValue::Object {}});
+    }
+}
+
 void OperatorTask::status(const HttpRequest &request)
 {
     m_onEvent(WholeStatusWanted {replyTo(request.token)});
--- a/Libraries/LibProxy/OperatorTask.h
+++ b/Libraries/LibProxy/OperatorTask.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <LibMembership/LibMembership.h>
+#include <LibProxy/AnnouncementHold.h>
 #include <LibProxy/AnnouncementOrder.h>
 #include <LibProxy/EdgeProtocol.h>
 #include <LibProxy/HttpServer.h>
 #include <LibProxy/Mailbox.h>
 #include <LibProxy/OperatorMessages.h>
+#include <LibProxy/ProxySettings.h>
 #include <LibProxy/StatusWanted.h>
 #include <LibProxy/Timer.h>
 #include <LibProxy/UpstreamAnnouncement.h>
@@ -15,6 +18,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace Fuchsiastep {
 
@@ -24,7 +28,11 @@
     bool isReady = false;
 };
 
-using OperatorTaskMessage = std::variant<ReadyChanged>;
+/// The departures that earlier processes of this proxy acknowledged are known.
+struct DeparturesKnown
+{ };
+
+using OperatorTaskMessage = std::variant<ReadyChanged, DepartureHeld, DepartureLearned, DeparturesKnown>;
 
 /// The upstream has not announced itself for UpstreamSettings::silence.
 struct AnnouncementsEnded
@@ -45,6 +53,7 @@
 };
 
 using OperatorTaskEvent = std::variant<UpstreamAnnouncement,
+    UpstreamDeparted,
     AnnouncementsEnded,
     DrainWanted,
     WholeStatusWanted,
@@ -61,7 +70,8 @@
     using EventHandler = std::function<void(OperatorTaskEvent event)>;
 
     /// \a protocol outlives the task.
-    OperatorTask(const EdgeProtocol &protocol, Duration silenceLimit, const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent);
+    OperatorTask(
+        const EdgeProtocol &protocol, const UpstreamSettings &upstream, const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent);
     ~OperatorTask();
 
     /// Fails with ListenFailed.
@@ -78,6 +88,9 @@
     struct Reply;
 
     void handle(const ReadyChanged &change);
+    void handle(const DepartureHeld &held);
+    void handle(const DepartureLearned &learned);
+    void handle(const DeparturesKnown &known);
     void handleHttp(HttpServerEvent event);
     void dispatch(const HttpRequest &request);
 
@@ -86,7 +99,13 @@
     void announce(const HttpRequest &request);
     bool dispatchByProtocol(const HttpRequest &request);
     void take(UpstreamAnnouncement announcement);
+    void pass(UpstreamAnnouncement announcement);
     void depart(const UpstreamDeparture &departure);
+    /// Lets other members hold the departure, which outlasts this process then.
+    void handOver(UpstreamDeparted departed);
+    void endHandOver();
+    /// Answers the call of an upstream, after the end of a handover that is going on.
+    void acknowledge(std::uint64_t token);
     void status(const HttpRequest &request);
     void members(const HttpRequest &request);
     void objects(const HttpRequest &request);
@@ -101,7 +120,14 @@
 
     const EdgeProtocol &m_protocol;
     Duration m_silenceLimit;
+    AnnouncementHold m_hold;
     AnnouncementOrder m_order;
+    /// The last departure that membership was told of.
+    std::optional<UpstreamDeparted> m_departed;
+    /// Other members do not hold m_departed yet.
+    bool m_isHandingOver = false;
+    /// Calls of the upstream that are answered after the handover.
+    std::vector<std::uint64_t> m_unacknowledged;
     std::optional<UpstreamAnnouncement> m_lastAnnouncement;
     const Clock &m_clock;
     MetricsRegistry &m_metrics;
@@ -109,6 +135,7 @@
     bool m_isReady = false;
     HttpServer m_server;
     Timer m_silenceTimer;
+    Timer m_handOverTimer;
     Mailbox<OperatorTaskMessage> m_mailbox;
     /// Replies come from other tasks in a later turn.
     Mailbox<std::pair<std::uint64_t, OperatorReply>> m_replies;
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -97,10 +97,8 @@
     platform.maximumAnswerBytes = std::min<std::uint64_t>(platform.maximumAnswerBytes, m_settings.limits.bufferBytes);
     m_platform = std::make_unique<PlatformClient>(platform);
     m_platform->setRestoredHandler([this](const PlatformRestored &restored) { handlePlatform(restored); });
-    m_operators =
-        std::make_unique<OperatorTask>(m_protocol, m_settings.upstream.silence(), m_clock, m_metrics, [this](OperatorTaskEvent event) {
-            handleOperators(std::move(event));
-        });
+    m_operators = std::make_unique<OperatorTask>(
+        m_protocol, m_settings.upstream, m_clock, m_metrics, [this](OperatorTaskEvent event) { handleOperators(std::move(event)); });
     m_operators->limitClients(m_ingress, m_settings.limits.clientConnections);
     const Result<Done> control = m_operators->tryListen(m_settings.listen.control);
     if (isError(control)) {
@@ -282,7 +280,12 @@
                    [this](const PeerVersion &version) { m_configuration->post(version); },
                    [this](const CrashSuspectLearned &learned) { m_requests->post(SuspectLearned {learned.entry}); },
                    [this](const FreezeDetected &freeze) { m_configuration->post(freeze); },
-                   [this](const JoinCompleted &) { endJoining(); },
+                   [this](const DepartureHeld &held) { m_operators->post(held); },
+                   [this](const DepartureLearned &learned) { m_operators->post(learned); },
+                   [this](const JoinCompleted &) {
+                       m_operators->post(DeparturesKnown {});
+                       endJoining();
+                   },
                },
         event);
 }
@@ -328,6 +331,7 @@
 {
     std::visit(Overloaded {
                    [this](UpstreamAnnouncement &announcement) { announce(announcement); },
+                   [this](UpstreamDeparted &departed) { m_membership->post(std::move(departed)); },
                    [this](AnnouncementsEnded &) {
                        logEvent(LogEvent::UpstreamLost, {{"upstream", m_endpoint ? m_endpoint->upstreamId : std::string()}});
                        m_endpoint.reset();
--- a/Libraries/LibProxy/UpstreamAnnouncement.cpp
+++ b/Libraries/LibProxy/UpstreamAnnouncement.cpp
@@ -16,6 +16,11 @@
     return ageMs < earlier.ageMs;
 }
 
+bool UpstreamAnnouncement::isSameStart(const UpstreamAnnouncement &other) const
+{
+    return upstreamId == other.upstreamId && lifetime->startedUnixMs == other.lifetime->startedUnixMs;
+}
+
 Duration UpstreamAnnouncement::coldFor() const
 {
     constexpr Duration WarmAge = std::chrono::seconds(10);
--- a/Libraries/LibProxy/UpstreamAnnouncement.h
+++ b/Libraries/LibProxy/UpstreamAnnouncement.h
@@ -42,6 +42,8 @@
     Duration coldFor() const;
     /// Whether the same upstream has started anew since \a earlier.
     bool isRestartOf(const UpstreamAnnouncement &earlier) const;
+    /// Whether both are of one start. Both must have a lifetime.
+    bool isSameStart(const UpstreamAnnouncement &other) const;
 
     /// Fails with OperatorRequestMalformed; the detail names the field.
     static Result<UpstreamAnnouncement> tryParse(std::string_view text);
--- a/Tests/LibMembership/Cluster.h
+++ b/Tests/LibMembership/Cluster.h
@@ -110,6 +110,10 @@
         ConfigurationVersion heldBefore = 0;
         /// Fingerprints of crash suspects that the current process knows.
         std::set<std::uint64_t> suspects;
+        /// Other members hold the last departure that the current process was told of.
+        bool isDepartureHeld = false;
+        /// What the current process learned of the departures of earlier ones.
+        std::optional<DepartedUpstream> learnedDeparture;
     };
     struct Datagram
     {
@@ -151,6 +155,8 @@
         node.proxy->nextPoll = clock.now() + random.jitter(std::chrono::milliseconds(500));
         node.heldBefore = std::exchange(node.highestHeld, 0);
         node.suspects.clear();
+        node.isDepartureHeld = false;
+        node.learnedDeparture.reset();
         ++node.restarts;
         step(index);
     }
@@ -192,6 +198,19 @@
         drainStore(index, nodes[index].proxy->suspectStore.handle(CrashObserved {{entry.fingerprint}}));
         settle(index);
     }
+    /// The upstream beside a proxy leaves.
+    void recordDeparture(std::size_t index, const UpstreamDeparted &departed)
+    {
+        nodes[index].isDepartureHeld = false;
+        drain(index, nodes[index].proxy->detector.handle(departed));
+        settle(index);
+    }
+    /// A record arrives at a proxy.
+    void merge(std::size_t index, const MemberRecord &record)
+    {
+        drain(index, nodes[index].proxy->detector.handle(MergeRecords {{record}}));
+        settle(index);
+    }
     bool allSuspect(std::uint64_t fingerprint) const
     {
         return std::all_of(
@@ -521,6 +540,14 @@
     {
         nodes[index].suspects.insert(learned.entry.fingerprint);
     }
+    void put(std::size_t index, const DepartureHeld &)
+    {
+        nodes[index].isDepartureHeld = true;
+    }
+    void put(std::size_t index, const DepartureLearned &learned)
+    {
+        nodes[index].learnedDeparture = learned.departed;
+    }
     template<typename Report>
     void put(std::size_t, const Report &)
     { }
--- a/Tests/LibMembership/TestMembers.cpp
+++ b/Tests/LibMembership/TestMembers.cpp
@@ -27,6 +27,9 @@
     CPPUNIT_TEST(testCrashSuspectsReachProxiesThatWereCutOff);
     CPPUNIT_TEST(testCrashSuspectsReachRestartedProxies);
     CPPUNIT_TEST(testCrashSuspectsOutlastTheFleet);
+    CPPUNIT_TEST(testDeparturesOutlastTheProcess);
+    CPPUNIT_TEST(testOlderDeparturesDoNotReplaceOwn);
+    CPPUNIT_TEST(testDepartureOfTheOnlyMember);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t Seeds = 20;
@@ -381,6 +384,83 @@
             }
         }
     }
+
+    /// An upstream takes its departure for not acknowledged after this time.
+    static constexpr Duration AcknowledgementTime = seconds(1);
+
+    // Guards against a departure that is forgotten where the proxy that acknowledged it ends at that moment, alone or together
+    // with one of the members that hold it, on links that lose datagrams. Counts within the time that the upstream drains.
+    void testDeparturesOutlastTheProcess()
+    {
+        for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+            Cluster cluster(seed, {.lossProbability = 0.05, .repeatProbability = 0.05});
+            cluster.add(6, "gatton");
+            cluster.add(6, "ipswich");
+            cluster.runUntil([&] { return cluster.agrees(); }, seconds(60), "members do not find each other");
+            const std::size_t beside = cluster.random.below(6);
+            const std::size_t other = (beside + 1 + cluster.random.below(5)) % 6;
+            const auto isHeld = [&] {
+                return cluster.nodes[beside].isDepartureHeld;
+            };
+            cluster.recordDeparture(beside, {"desk-1", 10});
+            cluster.runUntil(isHeld, AcknowledgementTime, "not held");
+            cluster.run(seconds(5));
+            cluster.recordDeparture(beside, {"desk-2", 20});
+            cluster.runUntil(isHeld, AcknowledgementTime, "not held");
+            cluster.kill(beside);
+            if (seed % 2 == 0) {
+                cluster.kill(other);
+            }
+            cluster.run(milliseconds(500));
+            cluster.start(beside);
+            if (seed % 2 == 0) {
+                cluster.start(other);
+            }
+            const auto isLearned = [&] {
+                const std::optional<DepartedUpstream> &learned = cluster.nodes[beside].learnedDeparture;
+                return learned && learned->upstreamId == "desk-2" && learned->startedUnixMs == 20;
+            };
+            cluster.runUntil(isLearned, seconds(2), "not learned after the restart");
+            // The members hold it for the next restart as well.
+            cluster.run(seconds(20));
+            cluster.kill(beside);
+            cluster.run(milliseconds(500));
+            cluster.start(beside);
+            cluster.runUntil(isLearned, seconds(2), "not learned after the second restart");
+        }
+    }
+
+    // Guards against a departure that is lost because an earlier process, whose clock was ahead, acknowledged another one.
+    void testOlderDeparturesDoNotReplaceOwn()
+    {
+        for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+            Cluster cluster(seed);
+            cluster.add(4);
+            cluster.introduceAll();
+            MemberRecord earlier = cluster.nodes[0].proxy->table.self();
+            earlier.incarnation += 1000;
+            earlier.departed = DepartedUpstream {"desk-1", 10, earlier.incarnation, 5};
+            cluster.merge(1, earlier);
+            cluster.recordDeparture(0, {"desk-2", 20});
+            const auto isHeld = [&] {
+                return std::all_of(cluster.nodes.begin(), cluster.nodes.end(), [&](const Cluster::Node &node) {
+                    const MemberRecord *record = node.proxy->table.find("proxy-0");
+                    return record != nullptr && record->departed && record->departed->upstreamId == "desk-2";
+                });
+            };
+            cluster.runUntil(isHeld, seconds(10), "the later departure is not held");
+            CPPUNIT_ASSERT_MESSAGE(cluster.seed, !cluster.nodes[0].learnedDeparture);
+        }
+    }
+
+    // Guards against an upstream that waits for its acknowledgement where no other member could hold the departure.
+    void testDepartureOfTheOnlyMember()
+    {
+        Cluster cluster(1);
+        cluster.add(1);
+        cluster.recordDeparture(0, {"desk-1", 10});
+        CPPUNIT_ASSERT(cluster.nodes[0].isDepartureHeld);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestMembers);
--- a/Tests/Processes/DocumentFleet.h
+++ b/Tests/Processes/DocumentFleet.h
@@ -98,6 +98,14 @@
         }
     }
 
+    /// Waits until the processes have ended.
+    void awaitEnd(const Indices &indices)
+    {
+        for (const std::size_t index : indices) {
+            CPPUNIT_ASSERT_MESSAGE(withSeed("a proxy does not end"), m_proxies.at(index).process->waitForExit(StartLimit));
+        }
+    }
+
     Indices all() const
     {
         Indices indices(m_proxies.size());
@@ -193,6 +201,18 @@
         return m_http.fetch(std::move(call)).status;
     }
 
+    /// A call of the upstream beside a proxy; \a call is "heartbeat" or "deregister". Returns the status of the answer.
+    unsigned report(std::size_t index, const std::string &upstreamId, const std::string &call, JsonValue::Object body)
+    {
+        HttpCall request;
+        request.method = "POST";
+        request.url = "http://" + m_proxies.at(index).control.toString() + "/-/instances/" + upstreamId + '/' + call;
+        request.headers = {{"content-type", "application/json"}};
+        request.body = JsonValue(std::move(body)).toText();
+        request.timeout = std::chrono::seconds(1);
+        return m_http.fetch(std::move(request)).status;
+    }
+
     /// Lets time pass for the store and the test.
     static void wait(Duration length)
     {
