Keep acknowledged departures in a row of the platform

Callers saw: where every proxy was killed at the same moment after an upstream had been deregistered, a late announcement still brought the upstream back, and requests reached it later than two seconds after the acknowledgement.

Change: DepartureStore writes the departure of the own member record to the row departure/<proxy id>, one write for each departure, again after failures and after the platform came back from an older copy. A starting process that holds an announcement back reads the row once it has joined, unless a member knows a record of its earlier process; joining alone no longer releases the announcement. The row of a member is removed by one member of its data centre when its tombstone expires.

LibMembership 49 tests pass, among them testDeparturesOutlastTheFleet and testDeparturesOfForgottenMembersAreRemoved (new).

Why it works: the row is written beside the hand-over to the members and does not depend on them. The acknowledgement does not wait for it, so that an outage of the platform delays no acknowledgement.

--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -78,6 +78,7 @@
     CallerDoesNotRead = 6020,
     AnnouncementHeld = 6021,
     DepartureLearned = 6022,
+    StoredDepartureRejected = 6023,
     RolloutPhaseChanged = 6420,
     RolloutOrderRejected = 6421,
     RequestGivenUp = 6430,
--- a/Libraries/LibMembership/FailureDetector.cpp
+++ b/Libraries/LibMembership/FailureDetector.cpp
@@ -34,6 +34,7 @@
     , m_nextProbe(clock.now() + random.jitter(settings.probePeriod))
     , m_nextGossip(clock.now())
     , m_nextFailedProbe(clock.now() + random.jitter(settings.failedProbePeriod))
+    , m_firstIncarnation(table.self().incarnation)
 {
     m_gossip.push(MemberUpdate {m_table.self(), {}}, transmissions());
 }
@@ -48,7 +49,7 @@
 std::vector<FailureDetectorOutput> FailureDetector::advance()
 {
     noticeFreeze();
-    m_table.expireTombstones();
+    expireTombstones();
     runProbes();
     runIsolation();
     runSuspicions();
@@ -138,6 +139,11 @@
     runDepartureHandover();
 }
 
+void FailureDetector::accept(const StoredDeparture &stored)
+{
+    learnOwnDeparture(stored.departed);
+}
+
 void FailureDetector::accept(const LeaveRequested &)
 {
     MemberRecord record = m_table.self();
@@ -246,7 +252,7 @@
 
 void FailureDetector::refuteIfAccused(const MemberRecord &record)
 {
-    learnOwnDeparture(record);
+    learnOwnHistory(record);
     MemberRecord self = m_table.self();
     if (self.state == MemberState::Left || !supersedes(record, self)) {
         return;
@@ -255,22 +261,42 @@
     changeOwnRecord(std::move(self));
 }
 
-void FailureDetector::learnOwnDeparture(const MemberRecord &record)
+void FailureDetector::learnOwnHistory(const MemberRecord &record)
+{
+    learnOwnDeparture(record.departed);
+    // Higher incarnations are of earlier processes as well, from before the clock of this instance went back.
+    const bool isOfEarlierProcess = record.incarnation < m_firstIncarnation || record.incarnation > m_table.self().incarnation;
+    if (isOfEarlierProcess && !m_isDepartureHistoryKnown) {
+        m_isDepartureHistoryKnown = true;
+        m_outputs.emplace_back(DepartureHistoryKnown {});
+    }
+}
+
+void FailureDetector::learnOwnDeparture(const std::optional<DepartedUpstream> &departed)
 {
     MemberRecord self = m_table.self();
-    if (!isLaterDeparture(record.departed, self.departed)) {
+    if (!isLaterDeparture(departed, self.departed)) {
         return;
     }
     if (m_isDepartureOwn) {
         // An earlier process acknowledged the other departure while the clock of this instance was ahead.
-        self.departed->incarnation = record.departed->incarnation + 1;
+        self.departed->incarnation = departed->incarnation + 1;
     } else {
-        self.departed = record.departed;
-        m_outputs.emplace_back(DepartureLearned {*record.departed});
+        self.departed = departed;
+        m_outputs.emplace_back(DepartureLearned {*departed});
     }
     changeOwnRecord(std::move(self));
 }
 
+void FailureDetector::expireTombstones()
+{
+    for (const MemberRecord &record : m_table.expireTombstones()) {
+        if (record.departed && record.dataCentre == m_table.self().dataCentre) {
+            m_outputs.emplace_back(DepartureExpired {record.proxyId});
+        }
+    }
+}
+
 void FailureDetector::runDepartureHandover()
 {
     if (!m_departureHandover || m_clock.now() < m_departureHandover->nextPing) {
--- a/Libraries/LibMembership/FailureDetector.h
+++ b/Libraries/LibMembership/FailureDetector.h
@@ -74,6 +74,7 @@
     void accept(const HeldVersionChanged &change);
     void accept(const OwnRecordChanged &change);
     void accept(const UpstreamDeparted &departure);
+    void accept(const StoredDeparture &stored);
     void accept(const LeaveRequested &request);
     void accept(const CrashSuspectRecorded &record);
     void accept(const VersionUnacknowledged &unacknowledged);
@@ -86,7 +87,10 @@
     void learn(const ProbeCargo &cargo);
     void applyUpdate(const MemberUpdate &update);
     void refuteIfAccused(const MemberRecord &record);
-    void learnOwnDeparture(const MemberRecord &record);
+    /// \a record is of this proxy, as another member holds it.
+    void learnOwnHistory(const MemberRecord &record);
+    void learnOwnDeparture(const std::optional<DepartedUpstream> &departed);
+    void expireTombstones();
     void runDepartureHandover();
     void noteDepartureHolder(const Ack &ack);
     /// Reports a record of this proxy that is too long for a probe.
@@ -135,6 +139,9 @@
     TimePoint m_nextGossip;
     TimePoint m_nextFailedProbe;
     std::optional<TimePoint> m_outsideReachedAt;
+    /// Incarnation at the start of this process.
+    std::uint64_t m_firstIncarnation;
+    bool m_isDepartureHistoryKnown = false;
     std::optional<DepartureHandover> m_departureHandover;
     /// The departure in the own record is one that this process was told of.
     bool m_isDepartureOwn = false;
--- a/Libraries/LibMembership/FailureDetectorMessages.h
+++ b/Libraries/LibMembership/FailureDetectorMessages.h
@@ -46,6 +46,12 @@
     bool operator==(const UpstreamDeparted &) const = default;
 };
 
+/// The platform's row of this proxy names this departure.
+struct StoredDeparture
+{
+    DepartedUpstream departed;
+};
+
 /// The proxy stops in an orderly way.
 struct LeaveRequested
 { };
@@ -72,6 +78,7 @@
     HeldVersionChanged,
     OwnRecordChanged,
     UpstreamDeparted,
+    StoredDeparture,
     LeaveRequested,
     CrashSuspectRecorded,
     VersionUnacknowledged,
@@ -109,12 +116,23 @@
 struct DepartureHeld
 { };
 
-/// An earlier process of this proxy acknowledged this departure; another member held it.
+/// An earlier process of this proxy acknowledged this departure; another member or the platform held it.
 struct DepartureLearned
 {
     DepartedUpstream departed;
 };
 
+/// Which departure the earlier processes of this proxy acknowledged is known: a member holds a record of one of them, or the
+/// platform's row was read. Follows the DepartureLearned, if there is one.
+struct DepartureHistoryKnown
+{ };
+
+/// A member of this data centre with a departure is no longer remembered.
+struct DepartureExpired
+{
+    std::string proxyId;
+};
+
 /// A change of the own record was refused. Its code is DatagramTooLong: the announced labels do not fit a probe.
 struct OwnRecordRejected
 {
@@ -130,6 +148,8 @@
     FreezeDetected,
     DepartureHeld,
     DepartureLearned,
+    DepartureHistoryKnown,
+    DepartureExpired,
     OwnRecordRejected>;
 
 } // namespace Fuchsiastep
--- a/Libraries/LibMembership/LibMembership.h
+++ b/Libraries/LibMembership/LibMembership.h
@@ -7,6 +7,7 @@
 #include <LibMembership/CrashSuspectSet.h>
 #include <LibMembership/CrashSuspectStore.h>
 #include <LibMembership/CrashSuspectSync.h>
+#include <LibMembership/DepartureStore.h>
 #include <LibMembership/Distributor.h>
 #include <LibMembership/FailureDetector.h>
 #include <LibMembership/MemberRecord.h>
--- a/Libraries/LibMembership/MemberRecordCodec.cpp
+++ b/Libraries/LibMembership/MemberRecordCodec.cpp
@@ -129,6 +129,22 @@
     return writer.take();
 }
 
+std::string encodeDepartedUpstream(const DepartedUpstream &departed)
+{
+    MsgpackWriter writer;
+    writeDeparted(writer, departed);
+    return writer.take();
+}
+
+Result<DepartedUpstream> tryDecodeDepartedUpstream(std::string_view bytes)
+{
+    DepartedUpstream departed;
+    if (!readMsgpack(bytes, MaximumRecordBytes, [&](MsgpackReader &reader) { departed = takeDeparted(reader); })) {
+        return Error {ErrorCode::FrameMalformed, "stored departure"};
+    }
+    return departed;
+}
+
 static std::string encodeSyncPart(MemberSyncKind kind, std::span<const MemberRecord> records)
 {
     MsgpackWriter writer;
--- a/Libraries/LibMembership/MemberRecordCodec.h
+++ b/Libraries/LibMembership/MemberRecordCodec.h
@@ -19,6 +19,11 @@
 /// msgpack of one record. Fields of the endpoint that repeat the record are left out.
 std::string encodeMemberRecord(const MemberRecord &record);
 
+/// msgpack of a departure, as a row of the platform holds it.
+std::string encodeDepartedUpstream(const DepartedUpstream &departed);
+/// Fails with FrameMalformed.
+Result<DepartedUpstream> tryDecodeDepartedUpstream(std::string_view bytes);
+
 /// Contents of MembershipSync frames for \a sync: at least one, each at most \a maximumBytes long.
 std::vector<std::string> encodeMemberSync(const MemberSync &sync, std::size_t maximumBytes = MaximumSyncBytes);
 /// Fails with FrameMalformed.
--- a/Libraries/LibMembership/MembershipTable.cpp
+++ b/Libraries/LibMembership/MembershipTable.cpp
@@ -46,8 +46,9 @@
     return change;
 }
 
-void MembershipTable::expireTombstones()
+std::vector<MemberRecord> MembershipTable::expireTombstones()
 {
+    std::vector<MemberRecord> forgotten;
     const TimePoint limit = m_clock.now() - m_tombstoneTime;
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
         const bool isKept = memberStateInfo(entry->second.record.state).isLive || entry->second.changedAt > limit;
@@ -56,8 +57,10 @@
             continue;
         }
         unindex(entry->second);
+        forgotten.push_back(std::move(entry->second.record));
         entry = m_entries.erase(entry);
     }
+    return forgotten;
 }
 
 const MemberRecord *MembershipTable::find(std::string_view proxyId) const
--- a/Libraries/LibMembership/MembershipTable.h
+++ b/Libraries/LibMembership/MembershipTable.h
@@ -30,8 +30,8 @@
     /// Stores \a record where it supersedes the one held, and reports that; nothing where it does not. The later departure of
     /// the two is kept in each case, and reported where it is news.
     std::optional<MemberChange> merge(MemberRecord record);
-    /// Forgets the members that left or failed longer than the tombstone time ago.
-    void expireTombstones();
+    /// Forgets the members that left or failed longer than the tombstone time ago, and returns their records.
+    std::vector<MemberRecord> expireTombstones();
 
     /// nullptr where the member is not known. The pointer is valid until the table changes.
     const MemberRecord *find(std::string_view proxyId) const;
--- a/Libraries/LibProxy/MembershipTask.cpp
+++ b/Libraries/LibProxy/MembershipTask.cpp
@@ -39,6 +39,7 @@
     , m_remotes({}, m_table, clock, random)
     , m_suspectSync({}, m_table, m_detector.crashSuspects(), clock, random)
     , m_suspectStore({}, m_detector.crashSuspects(), clock, random)
+    , m_departureStore({}, m_table, clock, random)
     , m_timer(clock, [this] { runDue(); })
     , m_mailbox([this](MembershipTaskMessage message) {
         std::visit([this](const auto &content) { handle(content); }, message);
@@ -92,6 +93,7 @@
 {
     run(m_contacts.handle(restored));
     run(m_suspectStore.handle(restored));
+    run(m_departureStore.handle(restored));
 }
 
 void MembershipTask::handle(const HeldVersionChanged &change)
@@ -110,6 +112,17 @@
     run(m_detector.handle(departure));
 }
 
+void MembershipTask::handle(const DepartureHistoryWanted &wanted)
+{
+    run(m_departureStore.handle(wanted));
+    run(m_departureStore.advance());
+}
+
+void MembershipTask::handle(const DepartureStoreReply &answer)
+{
+    run(m_departureStore.handle(answer.reply));
+}
+
 void MembershipTask::handle(const LeaveRequested &request)
 {
     run(m_detector.handle(request));
@@ -190,6 +203,8 @@
                        },
                        [this](const DepartureHeld &held) { m_onEvent(held); },
                        [this](const DepartureLearned &learned) { m_onEvent(learned); },
+                       [this](const DepartureHistoryKnown &known) { m_onEvent(known); },
+                       [this](const DepartureExpired &expired) { run(m_departureStore.handle(expired)); },
                        [](const OwnRecordRejected &rejected) {
                            logEvent(LogEvent::OperatorRequestRejected, {{"error", describe(rejected.error)}});
                        },
@@ -266,6 +281,24 @@
     }
 }
 
+void MembershipTask::run(std::vector<DepartureStoreOutput> outputs)
+{
+    for (DepartureStoreOutput &output : outputs) {
+        std::visit(Overloaded {
+                       [this](PlatformCall &call) {
+                           sendPlatformCall(
+                               m_platform, std::move(call), [this](PlatformReply reply) { post(DepartureStoreReply {std::move(reply)}); });
+                       },
+                       [this](const StoredDeparture &stored) { run(m_detector.handle(stored)); },
+                       [this](const DepartureHistoryKnown &known) { m_onEvent(known); },
+                       [](const StoredDepartureRejected &rejected) {
+                           logEvent(LogEvent::StoredDepartureRejected, {{"error", describe(rejected.error)}});
+                       },
+                   },
+            output);
+    }
+}
+
 void MembershipTask::sendProbe(const SendProbe &probe)
 {
     const std::string content = encodeProbe(probe.datagram);
@@ -340,6 +373,7 @@
     run(m_remotes.advance());
     run(m_suspectSync.advance());
     run(m_suspectStore.advance());
+    run(m_departureStore.advance());
     finishTurn();
 }
 
@@ -362,7 +396,8 @@
         m_contacts.nextDeadline(),
         m_remotes.nextDeadline(),
         m_suspectSync.nextDeadline(),
-        m_suspectStore.nextDeadline()}));
+        m_suspectStore.nextDeadline(),
+        m_departureStore.nextDeadline()}));
 }
 
 } // namespace Fuchsiastep
--- a/Libraries/LibProxy/MembershipTask.h
+++ b/Libraries/LibProxy/MembershipTask.h
@@ -24,10 +24,18 @@
     PlatformReply reply;
 };
 
+/// The answer to a call of the DepartureStore.
+struct DepartureStoreReply
+{
+    PlatformReply reply;
+};
+
 using MembershipTaskMessage = std::variant<PeerFrame,
     PlatformReply,
     PlatformRestored,
     CrashSuspectStoreReply,
+    DepartureStoreReply,
+    DepartureHistoryWanted,
     HeldVersionChanged,
     OwnRecordChanged,
     UpstreamDeparted,
@@ -51,6 +59,7 @@
     FreezeDetected,
     DepartureHeld,
     DepartureLearned,
+    DepartureHistoryKnown,
     JoinCompleted>;
 
 /// Knows the live members: it owns the probe socket, the failure detector, the contacts in the platform's table and
@@ -89,6 +98,8 @@
     void handle(const HeldVersionChanged &change);
     void handle(const OwnRecordChanged &change);
     void handle(const UpstreamDeparted &departure);
+    void handle(const DepartureHistoryWanted &wanted);
+    void handle(const DepartureStoreReply &answer);
     void handle(const LeaveRequested &request);
     void handle(const CrashSuspectRecorded &record);
     void handle(const CrashObserved &observed);
@@ -103,6 +114,7 @@
     void run(std::vector<RemoteSyncOutput> outputs);
     void run(std::vector<CrashSuspectSyncOutput> outputs);
     void run(std::vector<CrashSuspectStoreOutput> outputs);
+    void run(std::vector<DepartureStoreOutput> outputs);
     void sendProbe(const SendProbe &probe);
     void sendFrame(const SendFrame &send);
     void noteChange(const MemberChange &change);
@@ -122,6 +134,7 @@
     RemoteSync m_remotes;
     CrashSuspectSync m_suspectSync;
     CrashSuspectStore m_suspectStore;
+    DepartureStore m_departureStore;
     /// Upstreams that changed in this turn; nothing for one that went.
     std::map<std::string, std::optional<Endpoint>> m_changes;
     std::map<std::string, ConfigurationVersion> m_peerVersions;
--- a/Libraries/LibProxy/OperatorTask.cpp
+++ b/Libraries/LibProxy/OperatorTask.cpp
@@ -99,7 +99,7 @@
     depart(departure);
 }
 
-void OperatorTask::handle(const DeparturesKnown &)
+void OperatorTask::handle(const DepartureHistoryKnown &)
 {
     if (std::optional<UpstreamAnnouncement> held = m_hold.release()) {
         pass(std::move(*held));
@@ -201,6 +201,7 @@
         pass(std::move(announcement));
     } else {
         logEvent(LogEvent::AnnouncementHeld, {{"upstream", announcement.upstreamId}, {"sequence", announcement.lifetime->sequence}});
+        m_onEvent(DepartureHistoryWanted {});
     }
 }
 
--- a/Libraries/LibProxy/OperatorTask.h
+++ b/Libraries/LibProxy/OperatorTask.h
@@ -28,11 +28,7 @@
     bool isReady = false;
 };
 
-/// The departures that earlier processes of this proxy acknowledged are known.
-struct DeparturesKnown
-{ };
-
-using OperatorTaskMessage = std::variant<ReadyChanged, DepartureHeld, DepartureLearned, DeparturesKnown>;
+using OperatorTaskMessage = std::variant<ReadyChanged, DepartureHeld, DepartureLearned, DepartureHistoryKnown>;
 
 /// The upstream has not announced itself for UpstreamSettings::silence.
 struct AnnouncementsEnded
@@ -54,6 +50,7 @@
 
 using OperatorTaskEvent = std::variant<UpstreamAnnouncement,
     UpstreamDeparted,
+    DepartureHistoryWanted,
     AnnouncementsEnded,
     DrainWanted,
     WholeStatusWanted,
@@ -90,7 +87,7 @@
     void handle(const ReadyChanged &change);
     void handle(const DepartureHeld &held);
     void handle(const DepartureLearned &learned);
-    void handle(const DeparturesKnown &known);
+    void handle(const DepartureHistoryKnown &known);
     void handleHttp(HttpServerEvent event);
     void dispatch(const HttpRequest &request);
 
--- a/Tests/LibMembership/Cluster.h
+++ b/Tests/LibMembership/Cluster.h
@@ -53,6 +53,10 @@
             for (const RowWrite &write : transaction->writes) {
                 rows[write.key] = write.value.value_or("");
                 ++revisions[write.key];
+                if (!write.value) {
+                    rows.erase(write.key);
+                    revisions.erase(write.key);
+                }
             }
             return Committed {1};
         }
@@ -64,7 +68,9 @@
             return found;
         }
         for (const auto &[key, value] : rows) {
-            found.rows.push_back({key, 1, value});
+            if (key.starts_with(std::get<ScanRows>(request).prefix)) {
+                found.rows.push_back({key, 1, value});
+            }
         }
         return found;
     }
@@ -83,6 +89,7 @@
             , remote({}, table, clock, random)
             , suspectSync({}, table, detector.crashSuspects(), clock, random)
             , suspectStore({}, detector.crashSuspects(), clock, random)
+            , departureStore({}, table, clock, random)
             , distributor({}, table, holder, clock, random)
             , gate({}, table, clock, random)
         { }
@@ -93,6 +100,7 @@
         RemoteSync remote;
         CrashSuspectSync suspectSync;
         CrashSuspectStore suspectStore;
+        DepartureStore departureStore;
         Distributor distributor;
         StartupGate gate;
         TimePoint nextPoll;
@@ -114,6 +122,7 @@
         bool isDepartureHeld = false;
         /// What the current process learned of the departures of earlier ones.
         std::optional<DepartedUpstream> learnedDeparture;
+        bool isDepartureHistoryKnown = false;
     };
     struct Datagram
     {
@@ -127,11 +136,15 @@
     {
         PlatformReply reply;
     };
+    struct DepartureReply
+    {
+        PlatformReply reply;
+    };
     struct Message
     {
         std::size_t from = 0;
         std::size_t to = 0;
-        std::variant<Datagram, FrameBytes, PlatformReply, StoreReply, HeadRead> content;
+        std::variant<Datagram, FrameBytes, PlatformReply, StoreReply, DepartureReply, HeadRead> content;
     };
     using Queue = SeededQueue<Message>;
 
@@ -157,6 +170,7 @@
         node.suspects.clear();
         node.isDepartureHeld = false;
         node.learnedDeparture.reset();
+        node.isDepartureHistoryKnown = false;
         ++node.restarts;
         step(index);
     }
@@ -205,6 +219,12 @@
         drain(index, nodes[index].proxy->detector.handle(departed));
         settle(index);
     }
+    /// The upstream beside a proxy announced itself, and no member told whether it left before.
+    void wantDepartureHistory(std::size_t index)
+    {
+        drainDepartures(index, nodes[index].proxy->departureStore.handle(DepartureHistoryWanted {}));
+        settle(index);
+    }
     /// A record arrives at a proxy.
     void merge(std::size_t index, const MemberRecord &record)
     {
@@ -224,6 +244,7 @@
         for (std::size_t i = 0; i < nodes.size(); ++i) {
             drain(i, nodes[i].proxy->contacts.handle(PlatformRestored {1, 2}));
             drainStore(i, nodes[i].proxy->suspectStore.handle(PlatformRestored {1, 2}));
+            drainDepartures(i, nodes[i].proxy->departureStore.handle(PlatformRestored {1, 2}));
             settle(i);
         }
     }
@@ -326,6 +347,7 @@
         drain(index, proxy->remote.advance());
         drain(index, proxy->suspectSync.advance());
         drainStore(index, proxy->suspectStore.advance());
+        drainDepartures(index, proxy->departureStore.advance());
         drain(index, proxy->distributor.advance());
         drain(index, proxy->gate.advance());
         poll(index);
@@ -339,6 +361,7 @@
         node.due = std::min({node.due, *proxy.remote.nextDeadline(), proxy.nextPoll});
         node.due = std::min(node.due, proxy.suspectSync.nextDeadline().value_or(Never));
         node.due = std::min(node.due, proxy.suspectStore.nextDeadline().value_or(Never));
+        node.due = std::min(node.due, proxy.departureStore.nextDeadline().value_or(Never));
         node.due = std::min(node.due, proxy.distributor.nextDeadline().value_or(Never));
         node.due = std::min(node.due, proxy.gate.nextDeadline().value_or(Never));
         check(node);
@@ -418,6 +441,10 @@
     {
         drainStore(message.to, nodes[message.to].proxy->suspectStore.handle(reply.reply));
     }
+    void receive(const Message &message, const DepartureReply &reply)
+    {
+        drainDepartures(message.to, nodes[message.to].proxy->departureStore.handle(reply.reply));
+    }
     void receive(const Message &message, const HeadRead &head)
     {
         drain(message.to, nodes[message.to].proxy->gate.handle(head));
@@ -459,19 +486,19 @@
         }
     }
     void put(std::size_t index, const PlatformCall &call)
+    {
+        queue.schedule({index, index, callPlatform(index, call)}, std::chrono::milliseconds(5));
+    }
+    PlatformReply callPlatform(std::size_t index, const PlatformCall &call)
     {
         const bool isCutOff = nodes[index].isPlatformCut;
-        const PlatformResponse response = isCutOff ? PlatformFailure {ErrorCode::PlatformUnavailable} : platform.answer(call.request);
-        queue.schedule({index, index, PlatformReply {call.id, response}}, std::chrono::milliseconds(5));
+        return {call.id, isCutOff ? PlatformFailure {ErrorCode::PlatformUnavailable} : platform.answer(call.request)};
     }
     void drainStore(std::size_t index, const std::vector<CrashSuspectStoreOutput> &outputs)
     {
         for (const CrashSuspectStoreOutput &output : outputs) {
             if (const auto *call = std::get_if<PlatformCall>(&output)) {
-                const bool isCutOff = nodes[index].isPlatformCut;
-                const PlatformResponse response =
-                    isCutOff ? PlatformFailure {ErrorCode::PlatformUnavailable} : platform.answer(call->request);
-                queue.schedule({index, index, StoreReply {{call->id, response}}}, std::chrono::milliseconds(5));
+                queue.schedule({index, index, StoreReply {callPlatform(index, *call)}}, std::chrono::milliseconds(5));
             } else if (const auto *merge = std::get_if<MergeCrashSuspects>(&output)) {
                 put(index, *merge);
             }
@@ -548,6 +575,28 @@
     {
         nodes[index].learnedDeparture = learned.departed;
     }
+    void put(std::size_t index, const DepartureHistoryKnown &)
+    {
+        nodes[index].isDepartureHistoryKnown = true;
+    }
+    void put(std::size_t index, const DepartureExpired &expired)
+    {
+        drainDepartures(index, nodes[index].proxy->departureStore.handle(expired));
+    }
+    void put(std::size_t index, const StoredDeparture &stored)
+    {
+        drain(index, nodes[index].proxy->detector.handle(stored));
+    }
+    void drainDepartures(std::size_t index, const std::vector<DepartureStoreOutput> &outputs)
+    {
+        for (const DepartureStoreOutput &output : outputs) {
+            if (const auto *request = std::get_if<PlatformCall>(&output)) {
+                queue.schedule({index, index, DepartureReply {callPlatform(index, *request)}}, std::chrono::milliseconds(5));
+            } else {
+                std::visit([&](const auto &content) { put(index, content); }, output);
+            }
+        }
+    }
     template<typename Report>
     void put(std::size_t, const Report &)
     { }
--- a/Tests/LibMembership/TestMembers.cpp
+++ b/Tests/LibMembership/TestMembers.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(testCrashSuspectsReachRestartedProxies);
     CPPUNIT_TEST(testCrashSuspectsOutlastTheFleet);
     CPPUNIT_TEST(testDeparturesOutlastTheProcess);
+    CPPUNIT_TEST(testDeparturesOutlastTheFleet);
+    CPPUNIT_TEST(testDeparturesOfForgottenMembersAreRemoved);
     CPPUNIT_TEST(testOlderDeparturesDoNotReplaceOwn);
     CPPUNIT_TEST(testDepartureOfTheOnlyMember);
     CPPUNIT_TEST_SUITE_END();
@@ -430,6 +432,67 @@
         }
     }
 
+    // Guards against a departure that is forgotten where every proxy is killed at the same moment, also where the platform was
+    // down when the departure was acknowledged or came back from an older copy.
+    void testDeparturesOutlastTheFleet()
+    {
+        for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+            Cluster cluster(seed);
+            cluster.add(6);
+            cluster.runUntil([&] { return cluster.agrees(); }, seconds(60), "members do not find each other");
+            const std::size_t beside = cluster.random.below(6);
+            cluster.nodes[beside].isPlatformCut = seed % 3 == 0;
+            cluster.recordDeparture(beside, {"desk-1", 10});
+            cluster.runUntil([&] { return cluster.nodes[beside].isDepartureHeld; }, AcknowledgementTime, "not held");
+            if (seed % 3 == 0) {
+                cluster.run(seconds(5));
+                cluster.nodes[beside].isPlatformCut = false;
+                cluster.run(seconds(3));
+            } else if (seed % 3 == 1) {
+                cluster.losePlatformRows();
+                cluster.run(seconds(2));
+            } else {
+                cluster.run(milliseconds(50));
+            }
+            for (std::size_t index = 0; index < cluster.nodes.size(); ++index) {
+                cluster.kill(index);
+            }
+            for (std::size_t index = 0; index < cluster.nodes.size(); ++index) {
+                cluster.start(index);
+            }
+            for (std::size_t index = 0; index < cluster.nodes.size(); ++index) {
+                cluster.wantDepartureHistory(index);
+            }
+            cluster.run(seconds(2));
+            for (std::size_t index = 0; index < cluster.nodes.size(); ++index) {
+                CPPUNIT_ASSERT_MESSAGE(cluster.seed, cluster.nodes[index].isDepartureHistoryKnown);
+                const std::optional<DepartedUpstream> &learned = cluster.nodes[index].learnedDeparture;
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(cluster.seed, index == beside, learned.has_value());
+                CPPUNIT_ASSERT_MESSAGE(cluster.seed, !learned || (learned->upstreamId == "desk-1" && learned->startedUnixMs == 10));
+            }
+        }
+    }
+
+    // Guards against rows that stay for each proxy that ever was, and against rows of members that are still remembered.
+    void testDeparturesOfForgottenMembersAreRemoved()
+    {
+        Cluster cluster(1);
+        cluster.add(5);
+        cluster.introduceAll();
+        cluster.run(seconds(5));
+        cluster.recordDeparture(0, {"desk-1", 10});
+        cluster.recordDeparture(1, {"desk-2", 10});
+        cluster.run(seconds(5));
+        cluster.leave(0);
+        const auto hasRow = [&](std::size_t index) {
+            return cluster.platform.rows.contains(departureKey(cluster.nodes[index].id));
+        };
+        cluster.run(MembershipTable::DefaultTombstoneTime - seconds(5));
+        CPPUNIT_ASSERT(hasRow(0) && hasRow(1));
+        cluster.run(seconds(10));
+        CPPUNIT_ASSERT(!hasRow(0) && hasRow(1));
+    }
+
     // Guards against a departure that is lost because an earlier process, whose clock was ahead, acknowledged another one.
     void testOlderDeparturesDoNotReplaceOwn()
     {
--- a/Tests/Processes/TestDepartures.cpp
+++ b/Tests/Processes/TestDepartures.cpp
@@ -151,6 +151,8 @@
             {"draining, killed at once", LastWord::ReportedDraining, SIGKILL, milliseconds(0), LateReport::WhenReady, {}},
             {"deregistered, stopped", LastWord::Deregistered, SIGTERM, milliseconds(0), LateReport::BeforeReady, {}},
             {"deregistered, killed with another", LastWord::Deregistered, SIGKILL, milliseconds(0), LateReport::WhenReady, {2}},
+            {"deregistered, killed with all others", LastWord::Deregistered, SIGKILL, milliseconds(300), LateReport::WhenReady, {1, 2, 3}},
+            {"serving, killed with all others", LastWord::None, SIGKILL, milliseconds(0), LateReport::BeforeReady, {1, 2, 3}},
             {"serving, killed", LastWord::None, SIGKILL, milliseconds(0), LateReport::WhenReady, {}},
         };
         for (const Case &item : cases) {
