Let a departure outrank one from before the clock went back

Callers would see: where the clock of an instance went back between two starts of its proxy, and the new process learned the earlier departure from the platform alone, the next departure of an upstream there was ranked below the earlier one. No member held it, and a late announcement after a further restart brought the upstream back.

Cause: departures are ranked by the incarnation of the process, which is its wall-clock start. Only a record of the earlier process raises it.

Change: a departure that does not outrank the known one takes an incarnation above it.

--- a/Libraries/LibMembership/FailureDetector.cpp
+++ b/Libraries/LibMembership/FailureDetector.cpp
@@ -108,6 +108,16 @@
     m_held = change.held;
 }
 
+/// Puts \a departure into \a record as the latest one, also where the clock of this instance went back since the one before.
+static void setDeparture(MemberRecord &record, const UpstreamDeparted &departure)
+{
+    const std::optional<DepartedUpstream> earlier = record.departed;
+    record.departed = DepartedUpstream {departure.upstreamId, departure.startedUnixMs, record.incarnation, record.sequence};
+    if (!isLaterDeparture(record.departed, earlier)) {
+        record.departed->incarnation = earlier->incarnation + 1;
+    }
+}
+
 void FailureDetector::accept(const OwnRecordChanged &change)
 {
     MemberRecord record = m_table.self();
@@ -117,7 +127,7 @@
     ++record.sequence;
     if (record.departed && encodeMemberRecord(record).size() > MaximumRecordBytes) {
         // The upstream that serves goes before the one that has left.
-        record.departed = DepartedUpstream {{}, std::nullopt, record.incarnation, record.sequence};
+        setDeparture(record, {});
     }
     if (fitsProbe(record)) {
         changeOwnRecord(std::move(record));
@@ -128,7 +138,7 @@
 {
     MemberRecord record = m_table.self();
     ++record.sequence;
-    record.departed = DepartedUpstream {departure.upstreamId, departure.startedUnixMs, record.incarnation, record.sequence};
+    setDeparture(record, departure);
     if (!fitsProbe(record)) {
         return;
     }
--- a/Tests/LibMembership/Cluster.h
+++ b/Tests/LibMembership/Cluster.h
@@ -225,6 +225,11 @@
         drainDepartures(index, nodes[index].proxy->departureStore.handle(DepartureHistoryWanted {}));
         settle(index);
     }
+    void learnStoredDeparture(std::size_t index, const DepartedUpstream &departed)
+    {
+        drain(index, nodes[index].proxy->detector.handle(StoredDeparture {departed}));
+        settle(index);
+    }
     /// A record arrives at a proxy.
     void merge(std::size_t index, const MemberRecord &record)
     {
