Read the stored departure without waiting for the join

Callers saw: after a restart of a proxy its sound upstream was announced later than before.

Cause: read the row only after joining, which takes up to half a second, and 1.5 s where no neighbour answers.

Change: the row is read as soon as an announcement is held back. That is one read for most starts beside a running upstream.

New in TestDepartures: a store that is away at the departure, a successor at the same address, and the bound of the acknowledgement where no other proxy answers.

--- a/Libraries/LibMembership/DepartureStore.h
+++ b/Libraries/LibMembership/DepartureStore.h
@@ -26,8 +26,9 @@
 std::string departureKey(std::string_view proxyId);
 
 /// Keeps the departure in the own member record in a row of the platform, so that it outlasts a failure of this proxy
-/// together with the members that hold it. A proxy has one row, which it reads only where no member knows its earlier process.
-/// The row of a member that is forgotten is removed by one member of its data centre.
+/// together with the members that hold it. A proxy has one row. A starting one reads it where its upstream announces itself
+/// before a member has told of the earlier process: joining takes up to half a second, in which the upstream would stay unused.
+/// One member of its data centre tries once to remove the row of a member that is forgotten.
 class DepartureStore
 {
 public:
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -282,10 +282,7 @@
                    [this](const FreezeDetected &freeze) { m_configuration->post(freeze); },
                    [this](const DepartureHeld &held) { m_operators->post(held); },
                    [this](const DepartureLearned &learned) { m_operators->post(learned); },
-                   [this](const DepartureHistoryKnown &known) {
-                       m_isDepartureHistoryKnown = true;
-                       m_operators->post(known);
-                   },
+                   [this](const DepartureHistoryKnown &known) { m_operators->post(known); },
                    [this](const JoinCompleted &) { endJoining(); },
                },
         event);
@@ -319,16 +316,6 @@
     m_hasJoined = true;
     m_configuration->post(JoinEnded {});
     tellReadiness();
-    readDepartureHistory();
-}
-
-void ProxyRuntime::readDepartureHistory()
-{
-    // The answers of the contacts mostly make the call needless.
-    if (m_hasJoined && m_isDepartureHistoryWanted && !m_isDepartureHistoryKnown) {
-        m_isDepartureHistoryWanted = false;
-        m_membership->post(DepartureHistoryWanted {});
-    }
 }
 
 void ProxyRuntime::tellReadiness()
@@ -343,10 +330,7 @@
     std::visit(Overloaded {
                    [this](UpstreamAnnouncement &announcement) { announce(announcement); },
                    [this](UpstreamDeparted &departed) { m_membership->post(std::move(departed)); },
-                   [this](DepartureHistoryWanted &) {
-                       m_isDepartureHistoryWanted = true;
-                       readDepartureHistory();
-                   },
+                   [this](DepartureHistoryWanted &wanted) { m_membership->post(wanted); },
                    [this](AnnouncementsEnded &) {
                        logEvent(LogEvent::UpstreamLost, {{"upstream", m_endpoint ? m_endpoint->upstreamId : std::string()}});
                        m_endpoint.reset();
--- a/Libraries/LibProxy/ProxyRuntime.h
+++ b/Libraries/LibProxy/ProxyRuntime.h
@@ -51,8 +51,6 @@
     /// Asks the platform where the lease of freshness is about to end.
     void checkFreshness();
     void endJoining();
-    /// Asks the platform for the departure that earlier processes acknowledged, where that is wanted and not known.
-    void readDepartureHistory();
     void tellReadiness();
     void announce(const UpstreamAnnouncement &announcement);
     void publishOwnRecord();
@@ -71,8 +69,6 @@
     bool m_isReady = false;
     /// The members are known, or there are none to learn from.
     bool m_hasJoined = false;
-    bool m_isDepartureHistoryWanted = false;
-    bool m_isDepartureHistoryKnown = false;
     bool m_isDraining = false;
     bool m_hasLeft = false;
     /// What membership was told about the upstream beside this proxy.
--- a/Tests/Processes/TestDepartures.cpp
+++ b/Tests/Processes/TestDepartures.cpp
@@ -15,7 +15,8 @@
 /// An upstream gets no request later than this after its departure was acknowledged.
 constexpr Duration DrainTime = std::chrono::seconds(2);
 constexpr Duration Limit = std::chrono::seconds(10);
-constexpr std::int64_t Born = 1'700'000'000'000;
+/// Unix milliseconds.
+constexpr std::int64_t FirstStart = 1'700'000'000'000;
 
 enum class LastWord {
     Deregistered,
@@ -39,6 +40,10 @@
     LateReport lateReport;
     /// Proxies that end together with the one beside the upstream.
     DocumentFleet::Indices others;
+    /// Another upstream starts at the address of the first.
+    bool hasSuccessor = false;
+    /// The platform's store goes away before the departure.
+    bool isStoreAway = false;
 };
 
 /// An upstream beside a proxy, which answers each request and counts them.
@@ -55,16 +60,21 @@
     unsigned report(const std::string &state, std::uint64_t sequence)
     {
         return m_fleet.report(BesideUpstream,
-            "i-desk",
+            m_id,
             "heartbeat",
             {{"address", m_server.address().toString()},
-                {"born", Born},
+                {"born", m_born},
                 {"info", JsonValue::Object {{"service", "order-desk"}, {"version", "v1"}, {"zone", "tivoli"}, {"maxConcurrency", 4}}},
                 {"status", JsonValue::Object {{"state", state}, {"sequence", sequence}, {"coldLeftMs", 0}}}});
     }
     unsigned deregister()
     {
-        return m_fleet.report(BesideUpstream, "i-desk", "deregister", {{"born", Born}});
+        return m_fleet.report(BesideUpstream, m_id, "deregister", {{"born", m_born}});
+    }
+    void startSuccessor()
+    {
+        m_id = "i-successor";
+        m_born = FirstStart + 1000;
     }
     /// Whether a request of a caller reaches the upstream.
     bool isReached()
@@ -76,6 +86,8 @@
 
 private:
     DocumentFleet &m_fleet;
+    std::string m_id = "i-desk";
+    std::int64_t m_born = FirstStart;
     std::size_t m_arrivals = 0;
     ScriptedUpstream m_server;
 };
@@ -87,6 +99,7 @@
 {
     CPPUNIT_TEST_SUITE(TestDepartures);
     CPPUNIT_TEST(outlastTheProcess);
+    CPPUNIT_TEST(areAcknowledgedInTime);
     CPPUNIT_TEST_SUITE_END();
 
     static void check(const Case &item)
@@ -105,6 +118,9 @@
         };
         CPPUNIT_ASSERT_MESSAGE(withSeed(item.name + ": not used before"), DocumentFleet::waitUntil(isServed, Limit));
 
+        if (item.isStoreAway) {
+            fleet.store.goAway();
+        }
         const std::uint64_t lateSequence = sequence + 1;
         sequence += 10;
         if (item.lastWord == LastWord::Deregistered) {
@@ -126,7 +142,7 @@
             CPPUNIT_ASSERT_MESSAGE(withSeed(item.name + ": not used after"), DocumentFleet::waitUntil(isServed, Limit));
             return;
         }
-        // Written before the departure, in a changed order, and half a second apart.
+        // Written before the departure, and arriving in another order.
         for (const std::uint64_t late : {lateSequence + 1, lateSequence, lateSequence + 2}) {
             upstream.report("ready", late);
             DocumentFleet::wait(milliseconds(300));
@@ -139,18 +155,32 @@
         };
         const bool isUsed = DocumentFleet::waitUntil(isReached, acknowledgedAt + 2 * DrainTime - clock.now());
         CPPUNIT_ASSERT_MESSAGE(withSeed(item.name + ": a request after the departure"), !isUsed);
+        if (item.hasSuccessor) {
+            upstream.startSuccessor();
+            sequence = 0;
+            CPPUNIT_ASSERT_MESSAGE(withSeed(item.name + ": the successor is not used"), DocumentFleet::waitUntil(isServed, Limit));
+        }
     }
 
     // Guards against a restarted proxy that takes a late report of an upstream, whose departure its earlier process
-    // acknowledged, for news and sends requests to it; and against one that no longer uses an upstream that serves.
+    // acknowledged, for news and sends requests to it; and against one that does not use an upstream that serves, or the
+    // successor of one that left.
     void outlastTheProcess()
     {
         const std::vector<Case> cases {
-            {"deregistered, killed", LastWord::Deregistered, SIGKILL, milliseconds(300), LateReport::WhenReady, {}},
+            {"deregistered, killed", LastWord::Deregistered, SIGKILL, milliseconds(300), LateReport::WhenReady, {}, true},
             {"deregistered, killed at once", LastWord::Deregistered, SIGKILL, milliseconds(0), LateReport::BeforeReady, {}},
             {"draining, killed at once", LastWord::ReportedDraining, SIGKILL, milliseconds(0), LateReport::WhenReady, {}},
             {"deregistered, stopped", LastWord::Deregistered, SIGTERM, milliseconds(0), LateReport::BeforeReady, {}},
             {"deregistered, killed with another", LastWord::Deregistered, SIGKILL, milliseconds(0), LateReport::WhenReady, {2}},
+            {"deregistered, killed while the store is away",
+                LastWord::Deregistered,
+                SIGKILL,
+                milliseconds(300),
+                LateReport::BeforeReady,
+                {},
+                false,
+                true},
             {"deregistered, killed with all others", LastWord::Deregistered, SIGKILL, milliseconds(300), LateReport::WhenReady, {1, 2, 3}},
             {"serving, killed with all others", LastWord::None, SIGKILL, milliseconds(0), LateReport::BeforeReady, {1, 2, 3}},
             {"serving, killed", LastWord::None, SIGKILL, milliseconds(0), LateReport::WhenReady, {}},
@@ -159,6 +189,24 @@
             check(item);
         }
     }
+
+    // Guards against an upstream whose departure is not acknowledged, which then waits for seconds before it ends, because no
+    // other proxy answers and the store is away.
+    void areAcknowledgedInTime()
+    {
+        DocumentFleet fleet(Proxies);
+        fleet.writeVersion(1, {{"/orders/", "order-desk"}});
+        fleet.start(fleet.all());
+        fleet.awaitReady(fleet.all());
+        fleet.awaitMembers();
+        Upstream upstream(fleet);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(withSeed("report"), 200U, upstream.report("ready", 1));
+        fleet.store.goAway();
+        fleet.signal(fleet.allBut({BesideUpstream}), SIGSTOP);
+        // Without an answer after a second the status is 0.
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(withSeed("draining"), 200U, upstream.report("draining", 2));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(withSeed("deregistered"), 200U, upstream.deregister());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestDepartures);
