Ignore a departure call of an unknown upstream that says to be newer

Cause: since a departure of a start that is newer than the announced one ended that one, whichever id it named. The rule was meant for departures that an earlier process acknowledged. A call with a wrong id and a high start would have taken a sound upstream out of use, and the member record and the platform would have kept that.

Change: AnnouncementOrder::restoreDeparture() has the rule, for learned departures only; departure calls of another upstream are ignored as they were before.

--- a/Libraries/LibMembership/FailureDetectorSettings.h
+++ b/Libraries/LibMembership/FailureDetectorSettings.h
@@ -37,8 +37,9 @@
     /// Other members that hold a departure before it counts as held, or all of them where there are fewer. With two, one of
     /// them may fail together with this proxy.
     std::size_t departureHolders = 2;
-    /// Time between two attempts to hand a departure over, and after which the attempts end.
+    /// Time between two rounds of probes that hand a departure over.
     Duration departureRetry = std::chrono::milliseconds(100);
+    /// Time after which such rounds end. Gossip goes on.
     Duration departureLimit = std::chrono::seconds(1);
     /// Time between two probes of a member that was removed, which find it again after a partition.
     Duration failedProbePeriod = std::chrono::seconds(5);
--- a/Libraries/LibProxy/AnnouncementOrder.cpp
+++ b/Libraries/LibProxy/AnnouncementOrder.cpp
@@ -49,11 +49,6 @@
         m_current = Start {upstreamId, lifetime, true};
         return true;
     }
-    if (lifetime && m_current->lifetime && lifetime->startedUnixMs > m_current->lifetime->startedUnixMs) {
-        // No announcement of the start that leaves has arrived, and the current one is older.
-        m_current = Start {upstreamId, lifetime, true};
-        return true;
-    }
     const bool isOtherStart = lifetime && m_current->lifetime && lifetime->startedUnixMs != m_current->lifetime->startedUnixMs;
     if (m_current->upstreamId != upstreamId || isOtherStart) {
         return false;
@@ -62,4 +57,14 @@
     return true;
 }
 
+bool AnnouncementOrder::restoreDeparture(const std::string &upstreamId, const std::optional<UpstreamLifetime> &lifetime)
+{
+    const bool isNewer = m_current && m_current->lifetime && lifetime && lifetime->startedUnixMs > m_current->lifetime->startedUnixMs;
+    if (!isNewer) {
+        return acceptDeparture(upstreamId, lifetime);
+    }
+    m_current = Start {upstreamId, lifetime, true};
+    return true;
+}
+
 } // namespace Fuchsiastep
--- a/Libraries/LibProxy/AnnouncementOrder.h
+++ b/Libraries/LibProxy/AnnouncementOrder.h
@@ -17,6 +17,8 @@
     bool accept(UpstreamAnnouncement &announcement);
     /// The upstream leaves. False where the start that leaves is not the current one.
     bool acceptDeparture(const std::string &upstreamId, const std::optional<UpstreamLifetime> &lifetime);
+    /// An earlier process acknowledged this departure. False where the start that left is older than the current one.
+    bool restoreDeparture(const std::string &upstreamId, const std::optional<UpstreamLifetime> &lifetime);
 
 private:
     struct Start
--- a/Libraries/LibProxy/OperatorTask.cpp
+++ b/Libraries/LibProxy/OperatorTask.cpp
@@ -92,11 +92,13 @@
     }
     logEvent(LogEvent::DepartureLearned, {{"upstream", departed.upstreamId}});
     m_departed = UpstreamDeparted {departed.upstreamId, departed.startedUnixMs};
-    UpstreamDeparture departure {departed.upstreamId, std::nullopt};
+    std::optional<UpstreamLifetime> lifetime;
     if (departed.startedUnixMs) {
-        departure.lifetime = UpstreamLifetime {*departed.startedUnixMs, 0};
+        lifetime = UpstreamLifetime {*departed.startedUnixMs, 0};
+    }
+    if (m_order.restoreDeparture(departed.upstreamId, lifetime)) {
+        endAnnounced();
     }
-    depart(departure);
 }
 
 void OperatorTask::handle(const DepartureHistoryKnown &)
@@ -233,7 +235,11 @@
         departed.startedUnixMs = m_lastAnnouncement->lifetime->startedUnixMs;
     }
     handOver(std::move(departed));
-    // The last announcement is of the start that leaves, or of an older one.
+    endAnnounced();
+}
+
+void OperatorTask::endAnnounced()
+{
     if (m_lastAnnouncement && !m_lastAnnouncement->isDraining) {
         m_lastAnnouncement->isDraining = true;
         m_onEvent(*m_lastAnnouncement);
--- a/Libraries/LibProxy/OperatorTask.h
+++ b/Libraries/LibProxy/OperatorTask.h
@@ -98,6 +98,8 @@
     void take(UpstreamAnnouncement announcement);
     void pass(UpstreamAnnouncement announcement);
     void depart(const UpstreamDeparture &departure);
+    /// The start that was announced last takes no new work.
+    void endAnnounced();
     /// Lets other members hold the departure, which outlasts this process then.
     void handOver(UpstreamDeparted departed);
     void endHandOver();
--- a/Tests/LibProxy/TestAnnouncementOrder.cpp
+++ b/Tests/LibProxy/TestAnnouncementOrder.cpp
@@ -16,6 +16,8 @@
         Ready,
         Draining,
         Departure,
+        /// A departure that an earlier process acknowledged.
+        Restored,
     };
     struct Step
     {
@@ -46,10 +48,22 @@
                     {Kind::Ready, "u", 20, 1, true, false},
                     {Kind::Ready, "u", 10, 9, false, false}}},
             {"departure of an earlier start", {{Kind::Ready, "u", 20, 1, true, false}, {Kind::Departure, "u", 10, 0, false, false}}},
-            {"departure of a newer start of which nothing else has arrived",
+            {"restored departure of a newer start",
                 {{Kind::Ready, "u", 10, 7, true, false},
-                    {Kind::Departure, "v", 20, 0, true, true},
+                    {Kind::Restored, "v", 20, 0, true, true},
                     {Kind::Ready, "u", 10, 8, false, false}}},
+            {"restored departure of the current start",
+                {{Kind::Ready, "u", 10, 7, true, false}, {Kind::Restored, "u", 10, 0, true, true}, {Kind::Ready, "u", 10, 8, true, true}}},
+            {"restored departure of an earlier start",
+                {{Kind::Ready, "v", 20, 1, true, false},
+                    {Kind::Restored, "u", 10, 0, false, false},
+                    {Kind::Ready, "v", 20, 2, true, false}}},
+            {"restored departure before anything else",
+                {{Kind::Restored, "u", 10, 0, true, true}, {Kind::Ready, "u", 10, 4, true, true}, {Kind::Ready, "v", 20, 1, true, false}}},
+            {"departure of another upstream that says to be newer",
+                {{Kind::Ready, "u", 10, 7, true, false},
+                    {Kind::Departure, "v", 20, 0, false, false},
+                    {Kind::Ready, "u", 10, 8, true, false}}},
             {"departure of another upstream", {{Kind::Ready, "v", 20, 1, true, false}, {Kind::Departure, "u", 10, 0, false, false}}},
             {"replacement",
                 {{Kind::Ready, "u", 10, 7, true, false}, {Kind::Ready, "v", 20, 1, true, false}, {Kind::Ready, "u", 10, 8, false, false}}},
@@ -78,6 +92,10 @@
                     CPPUNIT_ASSERT_EQUAL_MESSAGE(message, step.isAccepted, order.acceptDeparture(step.upstream, lifetime));
                     continue;
                 }
+                if (step.kind == Kind::Restored) {
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(message, step.isAccepted, order.restoreDeparture(step.upstream, lifetime));
+                    continue;
+                }
                 UpstreamAnnouncement announcement;
                 announcement.upstreamId = step.upstream;
                 announcement.lifetime = lifetime;
