Word the comments on departures for newcomers

Cause: reading the change as a newcomer found comments that used private words (told, held, goes before) or left out what a number refers to.

--- a/Libraries/LibMembership/DepartedUpstream.h
+++ b/Libraries/LibMembership/DepartedUpstream.h
@@ -6,15 +6,15 @@
 
 namespace Fuchsiastep {
 
-/// The start of an upstream that was last acknowledged as leaving by the proxy beside it. It is part of the member record, so
-/// that the other members hold it when the process that gave the acknowledgement has gone.
+/// The last start of an upstream whose departure the proxy beside it acknowledged. It is part of the member record, so that
+/// other members still hold it after the process that gave the acknowledgement has ended.
 struct DepartedUpstream
 {
-    /// Empty where the record had no room for the departure any longer.
+    /// Empty where the departure was dropped because the member record became too long.
     std::string upstreamId;
-    /// Unix milliseconds of the start by the clock of the upstream; nothing where the departure named no start.
+    /// Unix milliseconds of the start by the clock of the upstream; nothing where the call named no start.
     std::optional<std::int64_t> startedUnixMs;
-    /// Incarnation and sequence of the member when it gave the acknowledgement. The higher pair is the later departure.
+    /// Incarnation and sequence of the member at the acknowledgement. Of two departures the one with the higher pair is later.
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
 
--- a/Libraries/LibMembership/DepartureStore.h
+++ b/Libraries/LibMembership/DepartureStore.h
@@ -25,10 +25,10 @@
 /// Key of the row that holds the last departure at a proxy.
 std::string departureKey(std::string_view proxyId);
 
-/// Keeps the departure in the own member record in a row of the platform, so that it outlasts a failure of this proxy
-/// together with the members that hold it. A proxy has one row. A starting one reads it where its upstream announces itself
-/// before a member has told of the earlier process: joining takes up to half a second, in which the upstream would stay unused.
-/// One member of its data centre tries once to remove the row of a member that is forgotten.
+/// Stores the departure of the own member record in a row of the platform, so that it survives a failure of this proxy and of
+/// the members that hold it. Each proxy has one row. A starting proxy reads it when its upstream announces itself before the
+/// proxy has joined; waiting for the join would leave the upstream unused for up to half a second. When the tombstone of
+/// a member expires, one member of its data centre removes the row, in one attempt.
 class DepartureStore
 {
 public:
--- a/Libraries/LibMembership/DepartureStoreMessages.h
+++ b/Libraries/LibMembership/DepartureStoreMessages.h
@@ -9,7 +9,7 @@
 
 namespace Fuchsiastep {
 
-/// This proxy has to know which departure its earlier processes acknowledged, and no member has told it yet.
+/// This proxy holds an announcement back until it knows which departure its earlier processes acknowledged.
 struct DepartureHistoryWanted
 { };
 
--- a/Libraries/LibMembership/FailureDetector.cpp
+++ b/Libraries/LibMembership/FailureDetector.cpp
@@ -126,7 +126,7 @@
     completeEndpoint(record);
     ++record.sequence;
     if (record.departed && encodeMemberRecord(record).size() > MaximumRecordBytes) {
-        // The upstream that serves goes before the one that has left.
+        // The upstream that serves matters more than the one that has left.
         setDeparture(record, {});
     }
     if (fitsProbe(record)) {
@@ -274,7 +274,7 @@
 void FailureDetector::learnOwnHistory(const MemberRecord &record)
 {
     learnOwnDeparture(record.departed);
-    // Higher incarnations are of earlier processes as well, from before the clock of this instance went back.
+    // The incarnation of an earlier process is higher where the clock of this instance went back.
     const bool isOfEarlierProcess = record.incarnation < m_firstIncarnation || record.incarnation > m_table.self().incarnation;
     if (isOfEarlierProcess && !m_isDepartureHistoryKnown) {
         m_isDepartureHistoryKnown = true;
@@ -317,7 +317,7 @@
         m_outputs.emplace_back(DepartureHeld {});
         return;
     }
-    // Later members learn of it by gossip.
+    // Other members learn of it by gossip.
     if (m_clock.now() >= m_departureHandover->end) {
         m_departureHandover.reset();
         return;
--- a/Libraries/LibMembership/FailureDetector.h
+++ b/Libraries/LibMembership/FailureDetector.h
@@ -56,7 +56,7 @@
     {
         TimePoint end;
         TimePoint nextPing;
-        /// Pings that told of it: their sequences, and the members that they went to.
+        /// Pings that carried the departure: sequence and receiver.
         std::map<std::uint64_t, std::string> pings;
         std::set<std::string> holders;
     };
@@ -143,7 +143,7 @@
     std::uint64_t m_firstIncarnation;
     bool m_isDepartureHistoryKnown = false;
     std::optional<DepartureHandover> m_departureHandover;
-    /// The departure in the own record is one that this process was told of.
+    /// The departure in the own record was acknowledged by this process, not by an earlier one.
     bool m_isDepartureOwn = false;
     std::vector<FailureDetectorOutput> m_outputs;
 };
--- a/Libraries/LibMembership/FailureDetectorMessages.h
+++ b/Libraries/LibMembership/FailureDetectorMessages.h
@@ -112,7 +112,7 @@
     Duration length {};
 };
 
-/// Enough other members hold the last UpstreamDeparted, or there are none.
+/// Enough other members have confirmed the last UpstreamDeparted, or there are no others.
 struct DepartureHeld
 { };
 
@@ -122,12 +122,12 @@
     DepartedUpstream departed;
 };
 
-/// Which departure the earlier processes of this proxy acknowledged is known: a member holds a record of one of them, or the
-/// platform's row was read. Follows the DepartureLearned, if there is one.
+/// This proxy knows which departure its earlier processes acknowledged: a member sent a record of one of them, or the
+/// platform's row was read. A DepartureLearned comes before it.
 struct DepartureHistoryKnown
 { };
 
-/// A member of this data centre with a departure is no longer remembered.
+/// The tombstone of a member of this data centre, whose record had a departure, has expired.
 struct DepartureExpired
 {
     std::string proxyId;
--- a/Libraries/LibMembership/FailureDetectorSettings.h
+++ b/Libraries/LibMembership/FailureDetectorSettings.h
@@ -34,8 +34,8 @@
     Duration isolationHold = std::chrono::seconds(30);
     /// How long an OutsideReached proves that this proxy is not isolated.
     Duration outsideFreshness = std::chrono::seconds(10);
-    /// Other members that hold a departure before it counts as held, or all of them where there are fewer. With two, one of
-    /// them may fail together with this proxy.
+    /// Members that must confirm a departure before it is acknowledged, or all of them where there are fewer. With two, one
+    /// of them may fail together with this proxy.
     std::size_t departureHolders = 2;
     /// Time between two rounds of probes that hand a departure over.
     Duration departureRetry = std::chrono::milliseconds(100);
--- a/Libraries/LibProxy/AnnouncementHold.cpp
+++ b/Libraries/LibProxy/AnnouncementHold.cpp
@@ -32,7 +32,7 @@
 
 bool AnnouncementHold::isConfirmed(const UpstreamAnnouncement &announcement, TimePoint now) const
 {
-    // Announcements that were delayed together arrive together; those of an upstream that serves come one by one.
+    // Announcements that were delayed by the same cut arrive together; those of an upstream that serves arrive at intervals.
     return m_held && m_held->isSameStart(announcement) && announcement.lifetime->sequence > m_held->lifetime->sequence
         && now - m_firstHeldAt >= m_interval / 2;
 }
--- a/Libraries/LibProxy/AnnouncementHold.h
+++ b/Libraries/LibProxy/AnnouncementHold.h
@@ -7,9 +7,9 @@
 
 namespace Fuchsiastep {
 
-/// Holds announcements back while a starting proxy does not know which departures its earlier processes acknowledged. One
-/// announcement may have been sent before such a departure and arrive late. An upstream that serves keeps announcing itself,
-/// so that a second announcement of the same start, an interval later, is believed without that knowledge.
+/// Holds announcements back while a starting proxy does not know which departure its earlier processes acknowledged: an
+/// announcement that was sent before a departure may arrive after the restart. A second announcement of the same start, at
+/// least half an interval later, passes without that knowledge, since an upstream that serves keeps announcing itself.
 class AnnouncementHold
 {
 public:
--- a/Libraries/LibProxy/OperatorTask.cpp
+++ b/Libraries/LibProxy/OperatorTask.cpp
@@ -10,8 +10,8 @@
 
 static constexpr std::uint64_t MaximumBodyBytes = 8 * 1024 * 1024; // A whole set of declarations at the target size.
 static constexpr std::uint32_t MaximumAuditEntries = 1000;
-/// A departure is acknowledged after this time even where no other member could be told. Upstreams take an acknowledgement
-/// that comes later than a second for none.
+/// A departure is acknowledged after this time even if no other member has confirmed it: upstreams ignore an acknowledgement
+/// that takes longer than a second.
 static constexpr Duration HandOverLimit = std::chrono::milliseconds(500);
 
 static std::map<std::string, std::string> parseQuery(const std::string &query)
@@ -215,7 +215,7 @@
     }
     m_silenceTimer.setDeadline(m_clock.now() + m_silenceLimit);
     m_lastAnnouncement = announcement;
-    // An upstream without lifetimes keeps announcing that it leaves, also to the next process.
+    // An upstream without lifetimes repeats to the next process that it leaves.
     if (announcement.isDraining && announcement.lifetime) {
         handOver({announcement.upstreamId, announcement.lifetime->startedUnixMs});
     }
--- a/Libraries/LibProxy/OperatorTask.h
+++ b/Libraries/LibProxy/OperatorTask.h
@@ -100,10 +100,10 @@
     void depart(const UpstreamDeparture &departure);
     /// The start that was announced last takes no new work.
     void endAnnounced();
-    /// Lets other members hold the departure, which outlasts this process then.
+    /// Passes the departure to other members, so that it survives this process.
     void handOver(UpstreamDeparted departed);
     void endHandOver();
-    /// Answers the call of an upstream, after the end of a handover that is going on.
+    /// Answers a call of the upstream, after the handover in progress if there is one.
     void acknowledge(std::uint64_t token);
     void status(const HttpRequest &request);
     void members(const HttpRequest &request);
@@ -121,7 +121,7 @@
     Duration m_silenceLimit;
     AnnouncementHold m_hold;
     AnnouncementOrder m_order;
-    /// The last departure that membership was told of.
+    /// The last departure that was handed over or learned.
     std::optional<UpstreamDeparted> m_departed;
     /// Other members do not hold m_departed yet.
     bool m_isHandingOver = false;
--- a/Tests/LibMembership/Cluster.h
+++ b/Tests/LibMembership/Cluster.h
@@ -118,7 +118,7 @@
         ConfigurationVersion heldBefore = 0;
         /// Fingerprints of crash suspects that the current process knows.
         std::set<std::uint64_t> suspects;
-        /// Other members hold the last departure that the current process was told of.
+        /// Other members have confirmed the last departure that the current process acknowledged.
         bool isDepartureHeld = false;
         /// What the current process learned of the departures of earlier ones.
         std::optional<DepartedUpstream> learnedDeparture;
