--- a/review/12/case.py
+++ b/review/12/case.py
@@ -18,6 +18,9 @@
     installation = lab.Installation(folder, [("kent-yard", "desk")] * 2 + [("tivoli", "desk")] * 2 + [("kent-yard", "desk")])
     machines, added = installation.machines[:4], installation.machines[4]
     backend = added["backend"]
+    # The other backends are busy, so that a further one is welcome.
+    for machine in installation.machines:
+        machine["backend"].work_s = 0.15
     try:
         await installation.apply(1, ROUTES, SERVICES, lab.LIMITS)
         await installation.start(machines)
@@ -32,7 +35,7 @@
                 method, path = (("GET", "/stock/"), ("POST", "/order/"))[number // len(machines) % 2]
                 asyncio.ensure_future(installation.send(machine, method, path + str(number)))
                 number += 1
-                await asyncio.sleep(0.02)
+                await asyncio.sleep(0.01)
 
         usual = asyncio.create_task(traffic())
         await asyncio.sleep(2)
--- a/review/lab-3/lab.py
+++ b/review/lab-3/lab.py
@@ -162,6 +162,7 @@
     def __init__(self):
         self.rows = {}
         self.version = 0
+        self.era = 1
         self.changed = asyncio.Condition()
         self.servers = {}
         # Machines, by the port that they were given, that are answered 503, and those that get no answer.
@@ -178,6 +179,19 @@
         for server in self.servers.values():
             server.reset()
 
+    def copy(self):
+        return dict(self.rows), self.version
+
+    def come_back_from(self, copy):
+        """A drill: what was written after the copy is gone, and connections from before are broken."""
+        rows, self.version = copy
+        self.rows = dict(rows)
+        self.era += 1
+        self.rejected.clear()
+        for server in self.servers.values():
+            for writer in list(server.writers):
+                writer.transport.abort()
+
     async def handle_of(self, port, *request):
         if port in self.rejected:
             return 503, {}, b""
@@ -186,7 +200,10 @@
             # A connection on which an answer is lost delivers nothing further.
             await asyncio.sleep(30)
             return None
-        return (503, {}, b"") if port in self.rejected else answer
+        if port in self.rejected:
+            return 503, {}, b""
+        status, headers, body = answer
+        return status, {**headers, "Store-Era": self.era}, body
 
     async def put(self, table, key, value):
         """The operator or another writer writes; the return is the acknowledgement."""
