Ignore announcements of a service that is not configured

Cause: the adapter compares the address only. AnnouncementOrder took the announcement for a later start of the upstream and refused all further announcements of the real one as those of an earlier start, for as long as the process lived.

Change: - AnnouncementHold keeps one announcement for each start back until the configuration in force names its service. It changes neither the order of starts nor the silence timer, and an upstream that starts before a version names its service is used once it does. Before the first configuration only the service of the settings is known. The start that passed last stays known where a version drops its service. - AnnouncementOrder lets a start that goes on announcing itself take the place of a current one that is silent for one and a half intervals. So a single announcement that names a configured service, or a clock that was ahead, costs some intervals and no longer the lifetime of the process. A later start still takes over at once. - A held start with a later time no longer hides the others while departures are unknown, unless it goes on announcing itself. - Events 6002, 6013 and 6021 name the start; two metrics count what is held and ignored.

--- a/Libraries/LibProxy/ConfigurationTask.cpp
+++ b/Libraries/LibProxy/ConfigurationTask.cpp
@@ -422,6 +422,7 @@
             {"era", m_platform.era()}});
     changeView(m_view->withConfiguration(configuration));
     m_onEvent(VersionHeld {{configuration->version(), configuration->digest()}});
+    m_onEvent(ConfigurationAdopted {configuration});
     run(m_reader.handle(ConfigurationHeld {configuration}));
     run(m_gate.handle(HeldVersion {configuration->version()}));
 }
--- a/Libraries/LibProxy/ConfigurationTask.h
+++ b/Libraries/LibProxy/ConfigurationTask.h
@@ -69,8 +69,14 @@
     std::uint64_t knownAtMs = 0;
 };
 
-using ConfigurationTaskEvent = std::
-    variant<NewestVersionConfirmed, ViewChanged, UpstreamGone, ReadinessChanged, VersionHeld, VersionUnacknowledged, CallerLimitsChanged>;
+using ConfigurationTaskEvent = std::variant<NewestVersionConfirmed,
+    ViewChanged,
+    UpstreamGone,
+    ReadinessChanged,
+    VersionHeld,
+    ConfigurationAdopted,
+    VersionUnacknowledged,
+    CallerLimitsChanged>;
 
 /// Keeps the view current: it owns the configuration in force, the reader of the platform, the distribution between
 /// proxies, the gate that keeps a new proxy from serving too early, and the operators' changes in progress.
--- a/Libraries/LibProxy/OperatorTask.cpp
+++ b/Libraries/LibProxy/OperatorTask.cpp
@@ -40,7 +40,8 @@
     const EdgeProtocol &protocol, const UpstreamSettings &upstream, const Clock &clock, MetricsRegistry &metrics, EventHandler onEvent)
     : m_protocol(protocol)
     , m_silenceLimit(upstream.silence())
-    , m_hold(upstream.heartbeat)
+    , m_hold(upstream.service, upstream.heartbeat)
+    , m_order(upstream.heartbeat)
     , m_clock(clock)
     , m_metrics(metrics)
     , m_onEvent(std::move(onEvent))
@@ -79,6 +80,14 @@
     m_isReady = change.isReady;
 }
 
+void OperatorTask::handle(const ConfigurationAdopted &adopted)
+{
+    passAll(m_hold.setConfiguration(adopted.configuration));
+    if (m_hold.isWaitingForDepartures()) {
+        m_onEvent(DepartureHistoryWanted {});
+    }
+}
+
 void OperatorTask::handle(const DepartureHeld &)
 {
     endHandOver();
@@ -103,9 +112,7 @@
 
 void OperatorTask::handle(const DepartureHistoryKnown &)
 {
-    if (std::optional<UpstreamAnnouncement> held = m_hold.release()) {
-        pass(std::move(*held));
-    }
+    passAll(m_hold.releaseDepartures());
 }
 
 void OperatorTask::handleHttp(HttpServerEvent event)
@@ -199,18 +206,38 @@
 
 void OperatorTask::take(UpstreamAnnouncement announcement)
 {
-    if (m_hold.mayPass(announcement, m_clock.now())) {
+    const HoldReason reason = m_hold.admit(announcement, m_clock.now());
+    if (reason == HoldReason::None) {
         pass(std::move(announcement));
-    } else {
-        logEvent(LogEvent::AnnouncementHeld, {{"upstream", announcement.upstreamId}, {"sequence", announcement.lifetime->sequence}});
+        return;
+    }
+    logEvent(LogEvent::AnnouncementHeld,
+        {{"upstream", announcement.upstreamId},
+            {"service", announcement.service},
+            {"started", announcement.lifetime->startedUnixMs},
+            {"sequence", announcement.lifetime->sequence},
+            {"reason", holdReasonName(reason)}});
+    m_metrics.count("fuchsiastep_announcements_held_total", "reason=\"" + std::string(holdReasonName(reason)) + '"');
+    if (reason == HoldReason::DeparturesUnknown) {
         m_onEvent(DepartureHistoryWanted {});
     }
 }
 
+void OperatorTask::passAll(std::vector<UpstreamAnnouncement> announcements)
+{
+    for (UpstreamAnnouncement &announcement : announcements) {
+        pass(std::move(announcement));
+    }
+}
+
 void OperatorTask::pass(UpstreamAnnouncement announcement)
 {
-    if (!m_order.accept(announcement)) {
-        logEvent(LogEvent::AnnouncementIgnored, {{"upstream", announcement.upstreamId}, {"sequence", announcement.lifetime->sequence}});
+    if (!m_order.accept(announcement, m_clock.now())) {
+        logEvent(LogEvent::AnnouncementIgnored,
+            {{"upstream", announcement.upstreamId},
+                {"started", announcement.lifetime->startedUnixMs},
+                {"sequence", announcement.lifetime->sequence}});
+        m_metrics.count("fuchsiastep_announcements_ignored_total");
         return;
     }
     m_silenceTimer.setDeadline(m_clock.now() + m_silenceLimit);
--- a/Libraries/LibProxy/OperatorTask.h
+++ b/Libraries/LibProxy/OperatorTask.h
@@ -28,7 +28,7 @@
     bool isReady = false;
 };
 
-using OperatorTaskMessage = std::variant<ReadyChanged, DepartureHeld, DepartureLearned, DepartureHistoryKnown>;
+using OperatorTaskMessage = std::variant<ReadyChanged, ConfigurationAdopted, DepartureHeld, DepartureLearned, DepartureHistoryKnown>;
 
 /// The upstream has not announced itself for UpstreamSettings::silence.
 struct AnnouncementsEnded
@@ -85,6 +85,7 @@
     struct Reply;
 
     void handle(const ReadyChanged &change);
+    void handle(const ConfigurationAdopted &adopted);
     void handle(const DepartureHeld &held);
     void handle(const DepartureLearned &learned);
     void handle(const DepartureHistoryKnown &known);
@@ -97,6 +98,7 @@
     bool dispatchByProtocol(const HttpRequest &request);
     void take(UpstreamAnnouncement announcement);
     void pass(UpstreamAnnouncement announcement);
+    void passAll(std::vector<UpstreamAnnouncement> announcements);
     void depart(const UpstreamDeparture &departure);
     /// The start that was announced last takes no new work.
     void endAnnounced();
--- a/Libraries/LibProxy/ProxyRuntime.cpp
+++ b/Libraries/LibProxy/ProxyRuntime.cpp
@@ -306,6 +306,7 @@
                        publishOwnRecord();
                    },
                    [this](const VersionHeld &held) { m_membership->post(HeldVersionChanged {held.held}); },
+                   [this](const ConfigurationAdopted &adopted) { m_operators->post(adopted); },
                    [this](const VersionUnacknowledged &unacknowledged) { m_membership->post(unacknowledged); },
                },
         event);
@@ -373,7 +374,10 @@
     }
     if (!m_endpoint || isRestarted) {
         logEvent(LogEvent::UpstreamAnnounced,
-            {{"upstream", endpoint.upstreamId}, {"service", endpoint.service}, {"address", announcement.address.toString()}});
+            {{"upstream", endpoint.upstreamId},
+                {"service", endpoint.service},
+                {"address", announcement.address.toString()},
+                {"started", announcement.lifetime ? announcement.lifetime->startedUnixMs : 0}});
     }
     m_endpoint = std::move(endpoint);
     publishOwnRecord();
--- a/Tests/LibProxy/TestAnnouncementOrder.cpp
+++ b/Tests/LibProxy/TestAnnouncementOrder.cpp
@@ -10,8 +10,11 @@
 {
     CPPUNIT_TEST_SUITE(TestAnnouncementOrder);
     CPPUNIT_TEST(testLateAnnouncements);
+    CPPUNIT_TEST(testStartsThatGoOn);
     CPPUNIT_TEST_SUITE_END();
 
+    static constexpr Duration Interval = std::chrono::seconds(1);
+
     enum class Kind {
         Ready,
         Draining,
@@ -82,7 +85,7 @@
                 {{Kind::Ready, "u", 10, 7, true, false}, {Kind::Departure, "u", 0, 0, true, true}, {Kind::Ready, "u", 10, 8, true, true}}},
         };
         for (const auto &[name, steps] : histories) {
-            AnnouncementOrder order;
+            AnnouncementOrder order(Interval);
             for (std::size_t i = 0; i < steps.size(); ++i) {
                 const Step &step = steps[i];
                 const std::string message = name + ", step " + std::to_string(i);
@@ -100,13 +103,67 @@
                 announcement.upstreamId = step.upstream;
                 announcement.lifetime = lifetime;
                 announcement.isDraining = step.kind == Kind::Draining;
-                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, step.isAccepted, order.accept(announcement));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, step.isAccepted, order.accept(announcement, TimePoint()));
                 if (step.isAccepted) {
                     CPPUNIT_ASSERT_EQUAL_MESSAGE(message, step.isDraining, announcement.isDraining);
                 }
             }
         }
     }
+
+    struct TimedStep
+    {
+        int atMs;
+        std::string upstream;
+        std::int64_t started;
+        std::uint64_t sequence;
+        bool isAccepted;
+        bool isDraining = false;
+    };
+
+    // Guards against one announcement with a later start that keeps the upstream at the address out for good, and against late
+    // announcements of an earlier start that end the one that took its place.
+    void testStartsThatGoOn()
+    {
+        const std::vector<std::pair<std::string, std::vector<TimedStep>>> histories {
+            {"another writer, once",
+                {{0, "u", 10, 7, true},
+                    {100, "w", 90, 1, true},
+                    {1000, "u", 10, 8, false},
+                    {2000, "u", 10, 9, true},
+                    {2100, "w", 90, 1, false},
+                    {2200, "w", 90, 2, false},
+                    {3000, "u", 10, 10, true}}},
+            {"another writer says that it leaves",
+                {{0, "u", 10, 7, true}, {100, "w", 90, 1, true, true}, {1000, "u", 10, 8, false}, {2000, "u", 10, 9, true}}},
+            {"successor with a clock that went back",
+                {{0, "u", 90, 7, true}, {5000, "v", 10, 1, false}, {6000, "v", 10, 2, true}, {6100, "u", 90, 8, false}}},
+            {"earlier start beside its successor",
+                {{0, "u", 10, 7, true},
+                    {100, "v", 20, 1, true},
+                    {1000, "u", 10, 8, false},
+                    {1100, "v", 20, 2, true},
+                    {2000, "u", 10, 9, false},
+                    {2100, "v", 20, 3, true},
+                    {3000, "u", 10, 10, false}}},
+            {"announcements that were delayed together",
+                {{0, "u", 10, 7, true}, {100, "v", 20, 1, true}, {5000, "u", 10, 8, false}, {5001, "u", 10, 9, false}}},
+            {"earlier start that has said that it leaves",
+                {{0, "u", 10, 7, true, true}, {100, "v", 20, 1, true}, {2000, "u", 10, 8, false}, {4000, "u", 10, 9, false}}},
+        };
+        for (const auto &[name, steps] : histories) {
+            AnnouncementOrder order(Interval);
+            for (std::size_t i = 0; i < steps.size(); ++i) {
+                const TimedStep &step = steps[i];
+                UpstreamAnnouncement announcement;
+                announcement.upstreamId = step.upstream;
+                announcement.lifetime = UpstreamLifetime {step.started, step.sequence};
+                announcement.isDraining = step.isDraining;
+                const TimePoint now {std::chrono::milliseconds(step.atMs)};
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(name + ", step " + std::to_string(i), step.isAccepted, order.accept(announcement, now));
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestAnnouncementOrder);
--- a/Tests/Processes/TestDepartures.cpp
+++ b/Tests/Processes/TestDepartures.cpp
@@ -1,7 +1,6 @@
 #include "DocumentFleet.h"
 #include "ProcessTest.h"
-
-#include <Support/ScriptedUpstream.h>
+#include "ReportingUpstream.h"
 
 using namespace Fuchsiastep;
 
@@ -11,12 +10,9 @@
 
 constexpr std::size_t Proxies = 4;
 constexpr std::size_t BesideUpstream = 0;
-constexpr std::size_t CallerSide = 1;
 /// An upstream gets no request later than this after its departure was acknowledged.
 constexpr Duration DrainTime = std::chrono::seconds(2);
 constexpr Duration Limit = std::chrono::seconds(10);
-/// Unix milliseconds.
-constexpr std::int64_t FirstStart = 1'700'000'000'000;
 
 enum class LastWord {
     Deregistered,
@@ -46,52 +42,6 @@
     bool isStoreAway = false;
 };
 
-/// An upstream beside a proxy, which answers each request and counts them.
-class Upstream
-{
-public:
-    explicit Upstream(DocumentFleet &fleet)
-        : m_fleet(fleet), m_server([this](std::size_t, std::size_t) {
-            ++m_arrivals;
-            return ScriptedUpstream::Reply {"HTTP/1.1 200 OK\r\nRequest-Id: 0123456789abcdef\r\nContent-Length: 4\r\n\r\ndone"};
-        })
-    { }
-
-    unsigned report(const std::string &state, std::uint64_t sequence)
-    {
-        return m_fleet.report(BesideUpstream,
-            m_id,
-            "heartbeat",
-            {{"address", m_server.address().toString()},
-                {"born", m_born},
-                {"info", JsonValue::Object {{"service", "order-desk"}, {"version", "v1"}, {"zone", "tivoli"}, {"maxConcurrency", 4}}},
-                {"status", JsonValue::Object {{"state", state}, {"sequence", sequence}, {"coldLeftMs", 0}}}});
-    }
-    unsigned deregister()
-    {
-        return m_fleet.report(BesideUpstream, m_id, "deregister", {{"born", m_born}});
-    }
-    void startSuccessor()
-    {
-        m_id = "i-successor";
-        m_born = FirstStart + 1000;
-    }
-    /// Whether a request of a caller reaches the upstream.
-    bool isReached()
-    {
-        const std::size_t before = m_arrivals;
-        m_fleet.request(CallerSide, "/orders/1");
-        return m_arrivals > before;
-    }
-
-private:
-    DocumentFleet &m_fleet;
-    std::string m_id = "i-desk";
-    std::int64_t m_born = FirstStart;
-    std::size_t m_arrivals = 0;
-    ScriptedUpstream m_server;
-};
-
 } // namespace
 
 /// An upstream leaves, and the proxy beside it ends and starts again while the upstream still serves.
@@ -110,7 +60,7 @@
         fleet.start(fleet.all());
         fleet.awaitReady(fleet.all());
         fleet.awaitMembers();
-        Upstream upstream(fleet);
+        ReportingUpstream upstream(fleet, BesideUpstream);
         std::uint64_t sequence = 10;
         const auto isServed = [&] {
             upstream.report("ready", ++sequence);
@@ -156,7 +106,7 @@
         const bool isUsed = DocumentFleet::waitUntil(isReached, acknowledgedAt + 2 * DrainTime - clock.now());
         CPPUNIT_ASSERT_MESSAGE(withSeed(item.name + ": a request after the departure"), !isUsed);
         if (item.hasSuccessor) {
-            upstream.startSuccessor();
+            upstream.startAnew("i-successor");
             sequence = 0;
             CPPUNIT_ASSERT_MESSAGE(withSeed(item.name + ": the successor is not used"), DocumentFleet::waitUntil(isServed, Limit));
         }
@@ -199,7 +149,7 @@
         fleet.start(fleet.all());
         fleet.awaitReady(fleet.all());
         fleet.awaitMembers();
-        Upstream upstream(fleet);
+        ReportingUpstream upstream(fleet, BesideUpstream);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(withSeed("report"), 200U, upstream.report("ready", 1));
         fleet.store.goAway();
         fleet.signal(fleet.allBut({BesideUpstream}), SIGSTOP);
