Bind reports that are held or on their way to an acknowledged departure

Cause: a departure was compared with the start that is announced. One that came before any accepted announcement and named no start (the platform's call has no body) was kept as an id only, and a report of that id with a sequence up to 3 counted as a new start, since "an upstream never leaves that early". It does where it leaves before its first report is accepted. Ruled out: a departure that is not acknowledged (the answer is 200), other members that bring the upstream back (the proxy beside it passes the report on itself).

Change: - AnnouncementOrder keeps acknowledged departures apart from the current start, and compares each announcement that it accepts with them, whichever queue it comes from. A departure that names no start binds every start of that upstream up to the acknowledgement, by the clock of the instance; one whose start has said before that it leaves binds that start. - The member record and the row of the platform hold that moment in the place of the start, so that a restart keeps the bound. Records keep their shape; the bound of a departure of an earlier version is the start of the process that acknowledged it. - A departure of an upstream that is not the current one is kept and handed over too; its first report may still be on its way. - Event 6024 tells what a departure binds.

--- a/Libraries/LibCore/LogEvent.h
+++ b/Libraries/LibCore/LogEvent.h
@@ -79,6 +79,7 @@
     AnnouncementHeld = 6021,
     DepartureLearned = 6022,
     StoredDepartureRejected = 6023,
+    DepartureAccepted = 6024,
     RolloutPhaseChanged = 6420,
     RolloutOrderRejected = 6421,
     RequestGivenUp = 6430,
--- a/Libraries/LibMembership/DepartedUpstream.h
+++ b/Libraries/LibMembership/DepartedUpstream.h
@@ -12,11 +12,13 @@
 {
     /// Empty where the departure was dropped because the member record became too long.
     std::string upstreamId;
-    /// Unix milliseconds of the start by the clock of the upstream; nothing where the call named no start.
+    /// Unix milliseconds of the start by the clock of the upstream; nothing where it is not known.
     std::optional<std::int64_t> startedUnixMs;
     /// Incarnation and sequence of the member at the acknowledgement. Of two departures the one with the higher pair is later.
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
+    /// Where the start is not known, every start of the upstream up to this moment, in Unix milliseconds, has left.
+    std::int64_t latestStartUnixMs = 0;
 
     bool operator==(const DepartedUpstream &) const = default;
 };
--- a/Libraries/LibMembership/FailureDetector.cpp
+++ b/Libraries/LibMembership/FailureDetector.cpp
@@ -112,7 +112,8 @@
 static void setDeparture(MemberRecord &record, const UpstreamDeparted &departure)
 {
     const std::optional<DepartedUpstream> earlier = record.departed;
-    record.departed = DepartedUpstream {departure.upstreamId, departure.startedUnixMs, record.incarnation, record.sequence};
+    record.departed =
+        DepartedUpstream {departure.upstreamId, departure.startedUnixMs, record.incarnation, record.sequence, departure.latestStartUnixMs};
     if (!isLaterDeparture(record.departed, earlier)) {
         record.departed->incarnation = earlier->incarnation + 1;
     }
--- a/Libraries/LibMembership/FailureDetectorMessages.h
+++ b/Libraries/LibMembership/FailureDetectorMessages.h
@@ -42,6 +42,8 @@
     std::string upstreamId;
     /// Unix milliseconds of the start that leaves; nothing where it is not known.
     std::optional<std::int64_t> startedUnixMs;
+    /// Where the start is not known, every start of the upstream up to this moment, in Unix milliseconds, leaves.
+    std::int64_t latestStartUnixMs = 0;
 
     bool operator==(const UpstreamDeparted &) const = default;
 };
--- a/Libraries/LibMembership/MemberRecordCodec.cpp
+++ b/Libraries/LibMembership/MemberRecordCodec.cpp
@@ -56,7 +56,7 @@
     writer.beginArray(DepartedFields);
     writer.put(std::string_view(departed.upstreamId));
     writer.put(departed.startedUnixMs.has_value());
-    writer.put(static_cast<std::uint64_t>(departed.startedUnixMs.value_or(0)));
+    writer.put(static_cast<std::uint64_t>(departed.startedUnixMs.value_or(departed.latestStartUnixMs)));
     writer.put(departed.incarnation);
     writer.put(departed.sequence);
 }
@@ -71,6 +71,11 @@
     departed.startedUnixMs = hasStart ? std::optional(startedUnixMs) : std::nullopt;
     departed.incarnation = reader.takeUnsigned();
     departed.sequence = reader.takeUnsigned();
+    if (!hasStart) {
+        // Proxies of earlier versions write 0; the process that acknowledged the departure had started before it.
+        const auto processStart = static_cast<std::int64_t>(std::min(departed.incarnation, MaximumStart));
+        departed.latestStartUnixMs = startedUnixMs == 0 ? processStart : startedUnixMs;
+    }
     return departed;
 }
 
--- a/Libraries/LibProxy/AnnouncementHold.cpp
+++ b/Libraries/LibProxy/AnnouncementHold.cpp
@@ -108,6 +108,17 @@
     return takeReady();
 }
 
+std::optional<std::int64_t> AnnouncementHold::latestStartOf(const std::string &upstreamId) const
+{
+    std::optional<std::int64_t> latest;
+    for (const Held &held : m_held) {
+        if (held.announcement.upstreamId == upstreamId) {
+            latest = std::max(latest.value_or(0), held.announcement.lifetime->startedUnixMs);
+        }
+    }
+    return latest;
+}
+
 bool AnnouncementHold::isWaitingForDepartures() const
 {
     return std::any_of(
--- a/Libraries/LibProxy/AnnouncementHold.h
+++ b/Libraries/LibProxy/AnnouncementHold.h
@@ -44,6 +44,8 @@
     std::vector<UpstreamAnnouncement> releaseDepartures();
     /// \a configuration is in force. Returns the announcements that pass now, those of later starts last.
     std::vector<UpstreamAnnouncement> setConfiguration(Configuration::Pointer configuration);
+    /// Unix milliseconds of the latest start of the upstream that is held.
+    std::optional<std::int64_t> latestStartOf(const std::string &upstreamId) const;
     /// Some announcements wait for the departures.
     bool isWaitingForDepartures() const;
 
--- a/Libraries/LibProxy/AnnouncementOrder.cpp
+++ b/Libraries/LibProxy/AnnouncementOrder.cpp
@@ -4,11 +4,9 @@
 
 namespace Fuchsiastep {
 
-/// A start that has announced itself no more often than this is newer than a departure that named no start. An upstream
-/// announces itself about once a second and never leaves that early, while its first announcements may arrive out of order.
-static constexpr std::uint64_t FreshStartSequence = 3;
 /// Starts that are remembered. Other writers may name any number of them.
 static constexpr std::size_t MaximumStarts = 16;
+static constexpr std::size_t MaximumDepartures = 16;
 
 AnnouncementOrder::AnnouncementOrder(Duration interval) : m_interval(interval)
 { }
@@ -58,12 +56,30 @@
     return isCurrentSilent && now - *start.contendsSince >= gap;
 }
 
-bool AnnouncementOrder::isOfLeavingStart(const UpstreamAnnouncement &announcement, const Start &start) const
+static bool includes(const UpstreamDeparted &departed, const std::string &upstreamId, std::int64_t startedUnixMs)
 {
-    if (m_departedWithoutStart == announcement.upstreamId) {
-        return announcement.lifetime->sequence > FreshStartSequence;
+    if (departed.upstreamId != upstreamId) {
+        return false;
+    }
+    return departed.startedUnixMs ? *departed.startedUnixMs == startedUnixMs : startedUnixMs <= departed.latestStartUnixMs;
+}
+
+bool AnnouncementOrder::hasLeft(const Start &start) const
+{
+    return std::any_of(m_departures.begin(), m_departures.end(), [&](const UpstreamDeparted &departed) {
+        return includes(departed, start.upstreamId, start.startedUnixMs);
+    });
+}
+
+void AnnouncementOrder::add(const UpstreamDeparted &departed)
+{
+    if (m_departures.size() == MaximumDepartures) {
+        m_departures.erase(m_departures.begin());
+    }
+    m_departures.push_back(departed);
+    for (Start &start : m_starts) {
+        start.isLeaving = start.isLeaving || includes(departed, start.upstreamId, start.startedUnixMs);
     }
-    return start.isLeaving;
 }
 
 bool AnnouncementOrder::accept(UpstreamAnnouncement &announcement, TimePoint now)
@@ -77,7 +93,7 @@
     }
     start.sequence = announcement.lifetime->sequence;
     start.heardAt = now;
-    start.isLeaving = announcement.isDraining || isOfLeavingStart(announcement, start);
+    start.isLeaving = start.isLeaving || announcement.isDraining || hasLeft(start);
     announcement.isDraining = start.isLeaving;
     if (!mayBecomeCurrent(start, now)) {
         return false;
@@ -88,39 +104,53 @@
     }
     start.wasDisplaced = false;
     m_current = &start;
-    m_departedWithoutStart.reset();
     return true;
 }
 
-bool AnnouncementOrder::acceptDeparture(const std::string &upstreamId, const std::optional<UpstreamLifetime> &lifetime)
+UpstreamDeparted AnnouncementOrder::acceptDeparture(
+    const std::string &upstreamId, const std::optional<UpstreamLifetime> &lifetime, std::int64_t unixMs)
 {
-    if (m_current == nullptr) {
-        // The proxy has started after the upstream. A late announcement of the same start must not bring it back.
-        if (lifetime) {
-            m_current = &findOrAdd(upstreamId, lifetime->startedUnixMs);
-            m_current->isLeaving = true;
-        } else {
-            m_departedWithoutStart = upstreamId;
+    UpstreamDeparted departed {upstreamId, std::nullopt, unixMs};
+    if (lifetime) {
+        departed.startedUnixMs = lifetime->startedUnixMs;
+    } else {
+        // The start that leaves may not have been heard yet. One that has said before that it leaves is the one that is meant.
+        const Start *latest = nullptr;
+        for (const Start &start : m_starts) {
+            if (start.upstreamId == upstreamId && (latest == nullptr || start.startedUnixMs > latest->startedUnixMs)) {
+                latest = &start;
+            }
+        }
+        if (latest != nullptr && latest->isLeaving) {
+            departed.startedUnixMs = latest->startedUnixMs;
+        } else if (latest != nullptr) {
+            departed.latestStartUnixMs = std::max(unixMs, latest->startedUnixMs);
         }
-        return true;
     }
-    const bool isOtherStart = lifetime && lifetime->startedUnixMs != m_current->startedUnixMs;
-    if (m_current->upstreamId != upstreamId || isOtherStart) {
-        return false;
+    if (departed.startedUnixMs) {
+        departed.latestStartUnixMs = 0;
     }
-    m_current->isLeaving = true;
-    return true;
+    add(departed);
+    if (m_current == nullptr && departed.startedUnixMs) {
+        m_current = &findOrAdd(upstreamId, *departed.startedUnixMs);
+        m_current->isLeaving = true;
+    }
+    return departed;
 }
 
-bool AnnouncementOrder::restoreDeparture(const std::string &upstreamId, const std::optional<UpstreamLifetime> &lifetime)
+void AnnouncementOrder::restoreDeparture(const UpstreamDeparted &departed)
 {
-    const bool isNewer = m_current != nullptr && lifetime && lifetime->startedUnixMs > m_current->startedUnixMs;
-    if (!isNewer) {
-        return acceptDeparture(upstreamId, lifetime);
+    add(departed);
+    if (!departed.startedUnixMs || (m_current != nullptr && *departed.startedUnixMs <= m_current->startedUnixMs)) {
+        return;
     }
-    m_current = &findOrAdd(upstreamId, lifetime->startedUnixMs);
+    m_current = &findOrAdd(departed.upstreamId, *departed.startedUnixMs);
     m_current->isLeaving = true;
-    return true;
+}
+
+bool AnnouncementOrder::isCurrentLeaving() const
+{
+    return m_current != nullptr && m_current->isLeaving;
 }
 
 } // namespace Fuchsiastep
--- a/Libraries/LibProxy/AnnouncementOrder.h
+++ b/Libraries/LibProxy/AnnouncementOrder.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibMembership/LibMembership.h>
 #include <LibProxy/UpstreamAnnouncement.h>
 
 #include <cstdint>
 #include <list>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Fuchsiastep {
 
@@ -23,10 +25,13 @@
     /// False for an announcement that is older than what is known. Marks an announcement as draining where its start has
     /// announced before that it leaves.
     bool accept(UpstreamAnnouncement &announcement, TimePoint now);
-    /// The upstream leaves. False where the start that leaves is not the current one.
-    bool acceptDeparture(const std::string &upstreamId, const std::optional<UpstreamLifetime> &lifetime);
-    /// An earlier process acknowledged this departure. False where the start that left is older than the current one.
-    bool restoreDeparture(const std::string &upstreamId, const std::optional<UpstreamLifetime> &lifetime);
+    /// The upstream leaves, and this is acknowledged at \a unixMs. Returns what other members have to know of it. It binds also
+    /// the announcements of this start that have not arrived, or have not been accepted, yet.
+    UpstreamDeparted acceptDeparture(const std::string &upstreamId, const std::optional<UpstreamLifetime> &lifetime, std::int64_t unixMs);
+    /// An earlier process acknowledged this departure.
+    void restoreDeparture(const UpstreamDeparted &departed);
+    /// The upstream at the address has said that it leaves.
+    bool isCurrentLeaving() const;
 
 private:
     struct Start
@@ -46,15 +51,16 @@
     Start &findOrAdd(const std::string &upstreamId, std::int64_t startedUnixMs);
     void forgetOldStarts();
     bool mayBecomeCurrent(Start &start, TimePoint now);
-    bool isOfLeavingStart(const UpstreamAnnouncement &announcement, const Start &start) const;
+    bool hasLeft(const Start &start) const;
+    void add(const UpstreamDeparted &departed);
 
     Duration m_interval;
     /// The last ones to be added are at the end.
     std::list<Start> m_starts;
     /// Points into m_starts.
     Start *m_current = nullptr;
-    /// The upstream of a departure that named no start and came before any announcement.
-    std::optional<std::string> m_departedWithoutStart;
+    /// The last ones to be acknowledged are at the end.
+    std::vector<UpstreamDeparted> m_departures;
 };
 
 } // namespace Fuchsiastep
--- a/Libraries/LibProxy/OperatorTask.cpp
+++ b/Libraries/LibProxy/OperatorTask.cpp
@@ -2,6 +2,7 @@
 
 #include <LibProxy/SoupSupport.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -100,14 +101,9 @@
         return;
     }
     logEvent(LogEvent::DepartureLearned, {{"upstream", departed.upstreamId}});
-    m_departed = UpstreamDeparted {departed.upstreamId, departed.startedUnixMs};
-    std::optional<UpstreamLifetime> lifetime;
-    if (departed.startedUnixMs) {
-        lifetime = UpstreamLifetime {*departed.startedUnixMs, 0};
-    }
-    if (m_order.restoreDeparture(departed.upstreamId, lifetime)) {
-        endAnnounced();
-    }
+    m_departed = UpstreamDeparted {departed.upstreamId, departed.startedUnixMs, departed.startedUnixMs ? 0 : departed.latestStartUnixMs};
+    m_order.restoreDeparture(*m_departed);
+    endAnnouncedIfLeaving();
 }
 
 void OperatorTask::handle(const DepartureHistoryKnown &)
@@ -251,23 +247,21 @@
 
 void OperatorTask::depart(const UpstreamDeparture &departure)
 {
-    if (!m_order.acceptDeparture(departure.upstreamId, departure.lifetime)) {
-        logEvent(LogEvent::AnnouncementIgnored, {{"upstream", departure.upstreamId}});
-        return;
-    }
-    UpstreamDeparted departed {departure.upstreamId, std::nullopt};
-    if (departure.lifetime) {
-        departed.startedUnixMs = departure.lifetime->startedUnixMs;
-    } else if (m_lastAnnouncement && m_lastAnnouncement->upstreamId == departure.upstreamId && m_lastAnnouncement->lifetime) {
-        departed.startedUnixMs = m_lastAnnouncement->lifetime->startedUnixMs;
-    }
+    // The clock of the upstream may be ahead of that of the proxy.
+    const std::int64_t now = std::max(m_clock.unixMilliseconds(), m_hold.latestStartOf(departure.upstreamId).value_or(0));
+    UpstreamDeparted departed = m_order.acceptDeparture(departure.upstreamId, departure.lifetime, now);
+    logEvent(LogEvent::DepartureAccepted,
+        {{"upstream", departed.upstreamId},
+            {"started", departed.startedUnixMs.value_or(0)},
+            {"latest_start", departed.latestStartUnixMs},
+            {"current", m_order.isCurrentLeaving()}});
     handOver(std::move(departed));
-    endAnnounced();
+    endAnnouncedIfLeaving();
 }
 
-void OperatorTask::endAnnounced()
+void OperatorTask::endAnnouncedIfLeaving()
 {
-    if (m_lastAnnouncement && !m_lastAnnouncement->isDraining) {
+    if (m_lastAnnouncement && !m_lastAnnouncement->isDraining && m_order.isCurrentLeaving()) {
         m_lastAnnouncement->isDraining = true;
         m_onEvent(*m_lastAnnouncement);
     }
--- a/Libraries/LibProxy/OperatorTask.h
+++ b/Libraries/LibProxy/OperatorTask.h
@@ -100,8 +100,8 @@
     void pass(UpstreamAnnouncement announcement);
     void passAll(std::vector<UpstreamAnnouncement> announcements);
     void depart(const UpstreamDeparture &departure);
-    /// The start that was announced last takes no new work.
-    void endAnnounced();
+    /// The start that was announced last takes no new work where it leaves, or where a later one has left.
+    void endAnnouncedIfLeaving();
     /// Passes the departure to other members, so that it survives this process.
     void handOver(UpstreamDeparted departed);
     void endHandOver();
@@ -125,7 +125,7 @@
     AnnouncementOrder m_order;
     /// The last departure that was handed over or learned.
     std::optional<UpstreamDeparted> m_departed;
-    /// Other members do not hold m_departed yet.
+    /// Acknowledgements wait until other members hold m_departed.
     bool m_isHandingOver = false;
     /// Calls of the upstream that are answered after the handover.
     std::vector<std::uint64_t> m_unacknowledged;
--- a/Tests/LibMembership/TestMemberData.cpp
+++ b/Tests/LibMembership/TestMemberData.cpp
@@ -54,7 +54,8 @@
             record.departed = DepartedUpstream {"upstream-" + std::to_string(random.below(9)),
                 hasStart ? std::optional(static_cast<std::int64_t>(random.next() >> 1U)) : std::nullopt,
                 random.below(3),
-                random.below(3)};
+                random.below(3),
+                hasStart ? 0 : static_cast<std::int64_t>(random.next() >> 1U)};
         }
         return record;
     }
--- a/Tests/Processes/ReportingUpstream.h
+++ b/Tests/Processes/ReportingUpstream.h
@@ -54,10 +54,11 @@
     {
         return m_fleet.report(m_proxy, m_id, "deregister", {});
     }
+    /// The next start, at the present time.
     void startAnew(const std::string &id)
     {
         m_id = id;
-        m_started += 1000;
+        m_started = Clock::system().unixMilliseconds();
     }
     const std::string &id() const
     {
--- a/Tests/Processes/TestDepartures.cpp
+++ b/Tests/Processes/TestDepartures.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST_SUITE(TestDepartures);
     CPPUNIT_TEST(outlastTheProcess);
     CPPUNIT_TEST(areAcknowledgedInTime);
+    CPPUNIT_TEST(bindReportsThatComeLater);
     CPPUNIT_TEST_SUITE_END();
 
     static void check(const Case &item)
@@ -140,6 +141,79 @@
         }
     }
 
+    struct LaterReport
+    {
+        std::string name;
+        /// The store is away while the proxy and its upstream start, so that the first report is held back.
+        bool isStoreAway;
+        bool isKilled;
+    };
+
+    static void check(const LaterReport &item)
+    {
+        const Clock clock = Clock::system();
+        DocumentFleet fleet(Proxies);
+        fleet.writeVersion(1, {{"/orders/", "order-desk"}});
+        fleet.start(fleet.allBut({BesideUpstream}));
+        fleet.awaitReady(fleet.allBut({BesideUpstream}));
+        const std::uint64_t revision = fleet.store.revision();
+        if (item.isStoreAway) {
+            fleet.store.goAway();
+        }
+        fleet.start({BesideUpstream});
+        ReportingUpstream upstream(fleet, BesideUpstream);
+        std::uint64_t sequence = 0;
+        if (!item.isStoreAway) {
+            fleet.awaitReady({BesideUpstream});
+            fleet.awaitMembers();
+        } else {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(withSeed(item.name), 200U, upstream.report("ready", ++sequence));
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(withSeed(item.name), 200U, upstream.deregisterWithoutStart());
+        const TimePoint acknowledgedAt = clock.now();
+        if (item.isStoreAway) {
+            fleet.store.comeBack(revision);
+            fleet.awaitReady({BesideUpstream});
+            fleet.awaitMembers();
+        }
+        if (item.isKilled) {
+            fleet.signal({BesideUpstream}, SIGKILL);
+            fleet.awaitEnd({BesideUpstream});
+            fleet.start({BesideUpstream});
+        }
+        fleet.awaitReady({BesideUpstream});
+        const TimePoint lateAt = std::max(clock.now(), acknowledgedAt + DrainTime);
+        while (clock.now() < lateAt + DrainTime) {
+            upstream.report("ready", ++sequence);
+            DocumentFleet::wait(milliseconds(300));
+            const bool isReached = upstream.isReached();
+            const bool isLate = clock.now() - acknowledgedAt > DrainTime;
+            CPPUNIT_ASSERT_MESSAGE(withSeed(item.name + ": a request after the departure"), !isReached || !isLate);
+        }
+        upstream.startAnew(upstream.id());
+        sequence = 0;
+        const auto isServed = [&] {
+            upstream.report("ready", ++sequence);
+            return upstream.isReached();
+        };
+        CPPUNIT_ASSERT_MESSAGE(withSeed(item.name + ": the next start is not used"), DocumentFleet::waitUntil(isServed, Limit));
+    }
+
+    // Guards against an upstream that gets requests after its departure was acknowledged, because its reports were held back or
+    // on their way at that moment and the departure named no start.
+    void bindReportsThatComeLater()
+    {
+        const std::vector<LaterReport> cases {
+            {"no report before the departure", false, false},
+            {"no report before the departure, killed", false, true},
+            {"report held while the store is away", true, false},
+            {"report held while the store is away, killed after it came back", true, true},
+        };
+        for (const LaterReport &item : cases) {
+            check(item);
+        }
+    }
+
     // Guards against an upstream whose departure is not acknowledged, which then waits for seconds before it ends, because no
     // other proxy answers and the store is away.
     void areAcknowledgedInTime()
