Honour a report that the upstream leaves whatever its sequence

A start that leaves stays leaving, so that the order of such reports doesn't matter: one is news if its start has not said so before.

--- a/Libraries/LibProxy/AnnouncementOrder.cpp
+++ b/Libraries/LibProxy/AnnouncementOrder.cpp
@@ -88,10 +88,13 @@
         return true;
     }
     Start &start = findOrAdd(announcement.upstreamId, announcement.lifetime->startedUnixMs);
-    if (start.sequence && announcement.lifetime->sequence <= *start.sequence) {
+    const bool isLate = start.sequence && announcement.lifetime->sequence <= *start.sequence;
+    // That the start leaves holds whatever arrived before. Its number may be lower than that of a report of another writer.
+    const bool isNewsOfLeaving = announcement.isDraining && !start.isLeaving;
+    if (isLate && !isNewsOfLeaving) {
         return false;
     }
-    start.sequence = announcement.lifetime->sequence;
+    start.sequence = std::max(start.sequence.value_or(0), announcement.lifetime->sequence);
     start.heardAt = now;
     start.isLeaving = start.isLeaving || announcement.isDraining || hasLeft(start);
     announcement.isDraining = start.isLeaving;
