--- a/Libraries/LibProxy/AnnouncementHold.cpp
+++ b/Libraries/LibProxy/AnnouncementHold.cpp
@@ -72,8 +72,9 @@
     known->lastHeldAt = now;
     if (announcement.lifetime->sequence > earlier.announcement.lifetime->sequence) {
         known->announcement = announcement;
-        known->announcement.isDraining = announcement.isDraining || earlier.announcement.isDraining;
     }
+    // That the start leaves holds whatever arrives after it, or arrived before.
+    known->announcement.isDraining = announcement.isDraining || earlier.announcement.isDraining;
     return earlier;
 }
 
--- a/Tests/LibProxy/TestAnnouncementHold.cpp
+++ b/Tests/LibProxy/TestAnnouncementHold.cpp
@@ -128,8 +128,8 @@
         }
     }
 
-    // Guards against other writers that fill the memory of the proxy with announcements, and against a held announcement that
-    // was sent before one which says that the upstream leaves.
+    // Guards against other writers that fill the memory of the proxy with announcements, and against a held announcement
+    // that passes as ready although another of its start, sent before or after it, says that the upstream leaves.
     void testHeldAnnouncements()
     {
         AnnouncementHold hold("desk", std::chrono::seconds(1));
@@ -138,12 +138,11 @@
         announcement.service = "other";
         for (std::size_t i = 0; i < 1000; ++i) {
             announcement.upstreamId = "w" + std::to_string(i);
-            announcement.lifetime = UpstreamLifetime {10, 5};
-            announcement.isDraining = true;
-            (void)hold.admit(announcement, TimePoint());
-            announcement.lifetime->sequence = 6;
-            announcement.isDraining = false;
-            (void)hold.admit(announcement, TimePoint());
+            for (const std::uint64_t sequence : {6, 5, 7}) {
+                announcement.lifetime = UpstreamLifetime {10, sequence};
+                announcement.isDraining = sequence == 5;
+                (void)hold.admit(announcement, TimePoint());
+            }
         }
         const std::vector<UpstreamAnnouncement> released = hold.setConfiguration(configurationOf(1, "other"));
         CPPUNIT_ASSERT(released.size() < 20);
